--- /dev/null
+++ b/cressrock/__init__.py
@@ -0,0 +1,1 @@
+"""cressrock: fair, failure-tolerant decisions for hosts that share storage nodes."""
--- /dev/null
+++ b/cressrock/brain.py
@@ -0,0 +1,599 @@
+"""All decisions of a cressrock host; its settings, events and actions are in cressrock/interface.py.
+
+Ordinary path (SFQ(D) with ASFQ's compensation): for each shard's node, volumes wait in queues of their
+own; the head with the lowest start tag (units over plan weight) plus compensation leaves while fewer
+than D requests are out.  Departures from it, and when each acts, are listed in docs/design.md.
+The module is pure: time comes in with each batch, nothing is read, randomness comes from the seed.
+"""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import deque
+
+from cressrock.interface import (
+    Action,
+    Arrival,
+    ClientLeft,
+    Effect,
+    Ended,
+    Event,
+    Fail,
+    Group,
+    ListKind,
+    Log,
+    Node,
+    NodeList,
+    NodeState,
+    Outcome,
+    Refuse,
+    Send,
+    SetTimer,
+    Settings,
+    Subscribe,
+)
+
+DEPTH = 10.0  # the paper's D: the bound of one host's, and the start of all hosts' together, at a node
+PERIOD_MS = 100.0  # the paper's period of the compensation
+BEAT = 0.2  # of a period: how often waiting work is looked at again when no event does it
+EPSILON = 2.0  # usual requests: a smaller gap between two volumes is noise
+FADE = 0.5  # what a period without unfairness leaves of a compensation
+LAG_TARGET = 0.45  # of a class's aim: the answer time at a node that D steers to
+SMOOTH = 0.15  # weight of the newest answer in a node's smoothed times
+NARROW = 0.85  # what is left of D after a round of answers over the target
+LAG_HEADROOM = 0.8  # of the smoothed answer time: a request that has less left before its aim is late
+RESERVE_COST = 0.1  # of a unit's cost in tags while it lies inside the volume's reserve
+RUN = 4  # requests on one key that may follow each other out of tag order
+LOG_LINES = 100  # for a whole life
+
+NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.MOOT)
+MAY_STILL_RUN = (Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
+FOREVER = float("inf")
+
+
+class _Request:
+    """A request from its arrival until it has its final answer and no attempt out."""
+
+    __slots__ = (
+        "arrival", "cls", "volume", "lane", "clock", "aim_at", "end_at", "attempts", "node", "sent_at",
+        "ran", "ended", "drawn",
+    )  # fmt: skip
+
+    def __init__(self, arrival: Arrival, volume: _Volume, now: float) -> None:
+        self.arrival = arrival
+        self.volume = volume
+        self.lane: _Lane | None = None
+        self.clock = 0.0  # the lane's virtual time when it joined
+        self.end_at = now + arrival.remaining_ms
+        self.attempts = 0
+        self.node: _Node | None = None  # where an attempt is out
+        self.ran: tuple[float, Node] | None = None  # first attempt that may have run
+        self.ended = False
+        self.drawn = False  # the limit has paid for it
+
+
+class _Volume:
+    """What one volume has used of its reserve and its limit at this host."""
+
+    def __init__(self, now: float) -> None:
+        self.at = now
+        self.writers = 1
+        self.reserve = 0.0
+        # A host that restarts cannot know what its former life spent of the limit: begin empty.
+        self.limit = 0.0
+
+
+class _Flow:
+    """One volume's queue at one lane, with its tags."""
+
+    def __init__(self) -> None:
+        self.waiting: list[_Request] = []
+        self.finish = 0.0
+        self.reserve_finish = 0.0
+        self.compensation = 0.0
+        self.served = 0.0
+
+
+class _Node:
+    """A node as its answers show it: window D, answer times, and what may still run there."""
+
+    def __init__(self, depth: float) -> None:
+        self.line: Node | None = None
+        self.depth = depth
+        self.lag = 0.0  # smoothed answer time
+        self.ratio = 0.0  # the same over the class's aim
+        self.out: dict[str, _Request] = {}
+        self.ghosts: list[tuple[float, float]] = []  # (sent, until): timed out, may still hold a slot
+        self.closed_until = 0.0
+        self.backoff = 0.0
+        self.recent: deque[tuple[float, float]] = deque()  # (time, units) sent within the cold window
+
+
+class _Lane:
+    """A shard's queues, virtual clock and present node."""
+
+    def __init__(self) -> None:
+        self.flows: dict[str, _Flow] = {}
+        self.late: list[_Request] = []  # these can no longer make their aim
+        self.node: _Node | None = None
+        self.start = 0.0  # highest start and finish tags sent
+        self.finish = 0.0
+        self.key = ""
+        self.run = 0
+        self.waiting = 0
+
+
+class _Turn:
+    """Requests on one key that have to run one at a time."""
+
+    def __init__(self) -> None:
+        self.queue: list[_Request] = []
+        self.rest_until = 0.0
+
+
+class Brain:
+    """One host's decisions: hand it each batch's events in order, carry out the actions it returns."""
+
+    def __init__(self, settings: Settings, seed: int, now_ms: float) -> None:
+        """Start with nothing known; the first node list comes as an event."""
+        self.set = settings
+        self.now = self.born = now_ms
+        self.random = random.Random(seed)
+        self.actions: list[Action] = []
+        self.requests: dict[str, _Request] = {}
+        self.volumes: dict[str, _Volume] = {}
+        self.nodes: dict[str, _Node] = {}
+        self.lanes: dict[int, _Lane] = {}
+        self.turns: dict[str, _Turn] = {}
+        self.expiry: list[tuple[float, int, _Request]] = []
+        self.count = 0
+        self.longest = [0.0 for _ in settings.classes]
+        self.taken: deque[float] = deque()
+        self.extra: deque[float] = deque()
+        self.armed = FOREVER
+        self.period_end = now_ms + PERIOD_MS
+        self.ask_at = now_ms if settings.must_ask else FOREVER
+        self.ask_wait = 0.0
+        self.logged = 0
+        self.aim = min(c.aim_ms for c in settings.classes)
+
+    def act(self, now_ms: float, events: list[Event]) -> list[Action]:
+        """Take in a batch's events, then send what may leave, answer what is due and set the timer."""
+        self.now = now_ms
+        self.actions = []
+        for event in events:
+            if isinstance(event, Arrival):
+                self._arrive(event)
+            elif isinstance(event, Ended):
+                self._outcome(event)
+            elif isinstance(event, NodeList):
+                self._list(event)
+            elif isinstance(event, ClientLeft):
+                self._client_left(event)
+        self._expire()
+        if now_ms >= self.period_end:
+            self._compensate()
+        if now_ms >= self.ask_at:
+            self._ask()
+        for lane in self.lanes.values():
+            if lane.waiting and lane.node is not None:
+                self._dispatch(lane, lane.node)
+        self._arm()
+        return self.actions
+
+    # --- arrivals, answers and ends
+
+    def _arrive(self, event: Arrival) -> None:
+        now = self.now
+        volume = self.volumes.get(event.volume)
+        if volume is None:
+            volume = self.volumes[event.volume] = _Volume(now)
+            volume.reserve = self.set.plans[event.plan].reserve / max(1, event.writers)
+        volume.writers = max(volume.writers, event.writers)
+        cls = self.set.classes[event.request_class]
+        request = _Request(event, volume, now)
+        request.cls = cls
+        # The part of its deadline that a client's later try lacks is time its user has waited already.
+        self.longest[event.request_class] = max(self.longest[event.request_class], event.remaining_ms)
+        waited = self.longest[event.request_class] - event.remaining_ms
+        request.aim_at = now + min(event.remaining_ms, cls.aim_ms - waited)
+        self.requests[event.request] = request
+        self.taken.append(now)
+        if cls.in_turn and event.key:
+            self.turns.setdefault(event.key, _Turn()).queue.append(request)
+        self._watch(request)
+        self._place(request)
+
+    def _watch(self, request: _Request) -> None:
+        """Every request is on the expiry heap while it is held: none can be left without an answer."""
+        self.count += 1
+        heapq.heappush(self.expiry, (request.end_at - 2 * self.set.tick_ms, self.count, request))
+
+    def _place(self, request: _Request) -> None:
+        """Queue a request at its data's lane, a new object where the least delay is expected."""
+        shard = request.arrival.shard
+        if request.ran is not None:
+            shard = request.ran[1].shard
+        if shard < 0:
+            shard = self._best_shard()
+        lane = self.lanes.setdefault(shard, _Lane())
+        flow = lane.flows.setdefault(request.arrival.volume, _Flow())
+        request.lane = lane
+        request.clock = lane.start if lane.node and lane.node.out else lane.finish
+        flow.waiting.append(request)
+        lane.waiting += 1
+
+    def _best_shard(self) -> int:
+        best, lowest = -1, FOREVER
+        for shard, lane in self.lanes.items():
+            node = lane.node
+            if node is None:
+                continue
+            delay = self._delay(node) * (1 + (lane.waiting + len(node.out)) / node.depth)
+            delay += self.random.random()  # ms: spreads equal nodes
+            if self.now < node.closed_until or self._cold_room(node) < FOREVER:
+                delay += 1e9
+            if delay < lowest:
+                best, lowest = shard, delay
+        return best
+
+    def _delay(self, node: _Node) -> float:
+        """Expected answer time; an attempt that is out for longer than usual tells of a hang at once."""
+        oldest = next(iter(node.out.values()), None)
+        return max(node.lag, self.now - oldest.sent_at if oldest else 0.0)
+
+    def _leave(self, request: _Request) -> None:
+        """Take a waiting request out of its lane."""
+        lane = request.lane
+        if lane is None:
+            return
+        request.lane = None
+        lane.waiting -= 1
+        flow = lane.flows[request.arrival.volume]
+        (flow.waiting if request in flow.waiting else lane.late).remove(request)
+
+    def _outcome(self, event: Ended) -> None:
+        request = self.requests.get(event.request)
+        if request is None or request.node is None or event.attempt != request.attempts - 1:
+            return
+        now, node, outcome = self.now, request.node, event.outcome
+        request.node = None
+        del node.out[event.request]
+        self._health(node, request, outcome, event.lag_ms)
+        if outcome in MAY_STILL_RUN and request.cls.in_turn and request.arrival.key in self.turns:
+            self.turns[request.arrival.key].rest_until = now + self.set.order_settle_ms
+        if outcome not in NEVER_RAN and request.ran is None:
+            request.ran = (request.sent_at, node.line)
+        lane = self.lanes.get(node.line.shard)
+        if lane is not None:
+            flow = lane.flows.setdefault(request.arrival.volume, _Flow())
+            flow.served += event.elsewhere + (request.arrival.units if outcome is Outcome.OK else 0)
+        if event.settled or request.ended or outcome is Outcome.OK:
+            request.ended = True
+            self._forget(request)
+        elif not self._may_try(request):
+            self._end(request)
+        else:
+            if request.ran is not None and request.cls.effect is Effect.KEYED:
+                window = request.ran[0] + request.cls.repeat_window_ms
+                if window < request.end_at:
+                    request.end_at = window
+                    self._watch(request)
+            self._place(request)
+
+    def _may_try(self, request: _Request) -> bool:
+        """Whether a further attempt can be lawful at all; when and where is looked at when it leaves."""
+        if request.attempts >= self.set.max_attempts or self.now >= request.end_at - 2 * self.set.tick_ms:
+            return False
+        if request.ran is None or request.cls.effect is Effect.REPEATABLE:
+            return True
+        return request.cls.effect is Effect.KEYED and (
+            self.now < request.ran[0] + request.cls.repeat_window_ms - 2 * self.set.tick_ms
+        )
+
+    def _may_refuse(self, request: _Request) -> bool:
+        """A refusal promises that a new try is harmless: only where nothing ran, or repeats are dropped."""
+        if request.cls.effect is Effect.REPEATABLE or (request.ran is None and request.node is None):
+            return True
+        return request.cls.effect is Effect.KEYED and request.cls.group is Group.ALL
+
+    def _end(self, request: _Request) -> None:
+        """Give the final answer."""
+        name = request.arrival.request
+        self._leave(request)
+        request.ended = True
+        self.actions.append(Refuse(name) if self._may_refuse(request) else Fail(name))
+        self._forget(request)
+
+    def _client_left(self, event: ClientLeft) -> None:
+        request = self.requests.get(event.request)
+        if request is not None and not request.ended:
+            self._leave(request)
+            request.ended = True
+            self._forget(request)
+
+    def _forget(self, request: _Request) -> None:
+        """Drop a request that is over; one with an attempt out stays until its outcome is in."""
+        if request.node is not None:
+            return
+        self.requests.pop(request.arrival.request, None)
+        turn = self.turns.get(request.arrival.key) if request.cls.in_turn else None
+        if turn is not None and request in turn.queue:
+            turn.queue.remove(request)
+
+    def _expire(self) -> None:
+        """Answer, just before its time is up, what waits; what is out gets until the very end."""
+        while self.expiry and self.expiry[0][0] <= self.now:
+            _, _, request = heapq.heappop(self.expiry)
+            if request.ended:
+                continue
+            deadline = request.end_at
+            if request.node is not None and self.now < deadline:
+                self.count += 1
+                heapq.heappush(self.expiry, (deadline, self.count, request))
+            elif request.lane is not None or self.now >= deadline:
+                self._end(request)
+
+    # --- the node list and the nodes' health
+
+    def _list(self, event: NodeList) -> None:
+        if event.kind is ListKind.FAILED:
+            # Back off from a list service in trouble, apart from the other hosts, but keep asking.
+            longest = self.set.ask_every_ms / 2 or 10 * PERIOD_MS
+            self.ask_wait = min(max(2 * self.ask_wait, 2 * PERIOD_MS), longest)
+            self.ask_at = self.now + self.ask_wait * (0.5 + self.random.random())
+            return
+        if self.set.must_ask and event.kind is not ListKind.CACHED:
+            self.ask_wait, self.ask_at = 0.0, FOREVER
+        listed = {line.name: line for line in event.nodes}
+        if event.kind is not ListKind.CHANGES:
+            for name in [n for n in self.nodes if n not in listed]:
+                self.nodes[name].line = self._gone(self.nodes[name].line)
+        for name, line in listed.items():
+            node = self.nodes.setdefault(name, _Node(max(1.0, DEPTH / self.set.hosts)))
+            if node.line is not None and node.line.up_since_ms != line.up_since_ms:
+                # A restarted process has forgotten its jam: what timed out runs no longer.
+                node.ghosts, node.closed_until, node.backoff, node.depth = [], 0.0, 0.0, 1.0
+            node.line = line
+        self._assign()
+
+    @staticmethod
+    def _gone(line: Node) -> Node:
+        return Node(line.name, line.shard, line.zone, line.up_since_ms, NodeState.GONE)
+
+    def _assign(self) -> None:
+        """Give each lane its ready node, the one that came up last; move new objects that wait for none."""
+        for name in [n for n, v in self.nodes.items() if v.line.state is NodeState.GONE and not v.out]:
+            del self.nodes[name]
+        for lane in self.lanes.values():
+            lane.node = None
+        for node in self.nodes.values():
+            if node.line.state is NodeState.READY:
+                lane = self.lanes.setdefault(node.line.shard, _Lane())
+                if lane.node is None or node.line.up_since_ms > lane.node.line.up_since_ms:
+                    lane.node = node
+        for lane in list(self.lanes.values()):
+            if lane.node is None and lane.waiting:
+                waiting = [r for f in lane.flows.values() for r in f.waiting] + lane.late
+                for request in waiting:
+                    if request.arrival.shard < 0 and request.ran is None:
+                        self._leave(request)
+                        self._place(request)
+
+    def _ask(self) -> None:
+        self.actions.append(Subscribe())
+        self.ask_at = self.now + (self.set.ask_every_ms / 2 or 10 * PERIOD_MS)
+
+    def _health(self, node: _Node, request: _Request, outcome: Outcome, lag: float) -> None:
+        """Steer D by the answers, and by what fails how soon a closed node is tried again."""
+        now = self.now
+        if outcome in (Outcome.OK, Outcome.ERROR):
+            node.backoff, node.closed_until = 0.0, 0.0
+            # Nodes take work in turn: what was sent before an answered attempt is mostly done as well.
+            node.ghosts = [g for g in node.ghosts if g[0] > request.sent_at]
+            ratio = lag / request.cls.aim_ms
+            weight = SMOOTH if node.lag else 1.0
+            node.lag += weight * (lag - node.lag)
+            node.ratio += weight * (ratio - node.ratio)
+            if node.ratio > LAG_TARGET:
+                node.depth = max(1.0, node.depth * NARROW ** (1 / max(1.0, node.depth)))
+            elif len(node.out) + 1 >= int(node.depth):
+                node.depth = min(DEPTH, node.depth + 0.5 / node.depth)
+        elif outcome is Outcome.FULL:
+            node.depth = max(1.0, node.depth / 2)
+            node.closed_until = max(node.closed_until, now + max(node.lag, BEAT * PERIOD_MS))
+        elif outcome in (Outcome.TIMEOUT, Outcome.NO_CONNECTION):
+            # Hung, gone or refusing: one real request at a time tries it, at growing intervals.
+            if not node.backoff:
+                self._log(f"node {node.line.name}: {outcome.value}, now on trial")
+            node.depth = 1.0
+            node.backoff = min(max(2 * node.backoff, PERIOD_MS), 4 * self.aim)
+            node.closed_until = now + node.backoff
+            if outcome is Outcome.TIMEOUT:
+                node.ghosts.append((request.sent_at, now + lag))
+
+    def _log(self, text: str) -> None:
+        if self.logged < LOG_LINES:
+            self.logged += 1
+            self.actions.append(Log(text))
+
+    # --- the ordinary path: tags, D and compensation
+
+    def _room(self, node: _Node) -> bool:
+        """Whether fewer than D are out, counting what timed out and may still run."""
+        if self.now < node.closed_until or len(node.out) >= DEPTH:
+            return False
+        if not node.out:
+            return True  # a node on trial is tried with one request even while ghosts hold its slots
+        node.ghosts = [g for g in node.ghosts if g[1] > self.now]
+        return len(node.out) + len(node.ghosts) < int(node.depth)
+
+    def _dispatch(self, lane: _Lane, node: _Node) -> None:
+        room = self._cold_room(node)
+        while lane.waiting and self._room(node):
+            request = self._pick(lane, node, room)
+            if request is None:
+                break
+            self._send(lane, node, request)
+            room -= request.arrival.units
+
+    def _pick(self, lane: _Lane, node: _Node, room: float) -> _Request | None:
+        """Choose the lowest tag plus compensation among the volumes' heads; late work only after these."""
+        best: tuple[float, _Request] | None = None
+        needed = self.now + LAG_HEADROOM * node.lag
+        for flow in lane.flows.values():
+            if not flow.waiting:
+                continue
+            for request in [r for r in flow.waiting if r.aim_at < needed]:
+                flow.waiting.remove(request)
+                lane.late.append(request)
+            head = self._first(flow.waiting, node, room)
+            if head is None:
+                continue
+            if head.arrival.key == lane.key and 0 < lane.run < RUN:
+                return head  # the node still holds this piece of data: the work costs it less now
+            tag = self._tags(flow, head)[0] + (0.0 if self._reserved(head) else flow.compensation)
+            if best is None or tag < best[0]:
+                best = (tag, head)
+        if best is not None:
+            return best[1]
+        return self._first(lane.late, node, room)
+
+    def _first(self, waiting: list[_Request], node: _Node, room: float) -> _Request | None:
+        """Pick a volume's head: the request with the nearest aim among those that may leave now."""
+        head = None
+        for request in waiting:
+            if (head is None or request.aim_at < head.aim_at) and self._may_leave(request, node, room):
+                head = request
+        return head
+
+    def _reserved(self, request: _Request) -> bool:
+        self._refill(request)
+        return request.volume.reserve >= request.arrival.units
+
+    def _tags(self, flow: _Flow, request: _Request) -> tuple[float, float]:
+        """Start and finish tag; units inside the reserve run on a chain of their own at a lower cost."""
+        cost = request.arrival.units / self.set.plans[request.arrival.plan].weight
+        if self._reserved(request):
+            start = max(request.clock, flow.reserve_finish)
+            return start - cost, start + RESERVE_COST * cost
+        start = max(request.clock, flow.finish)
+        return start, start + cost
+
+    def _send(self, lane: _Lane, node: _Node, request: _Request) -> None:
+        now, units = self.now, request.arrival.units
+        flow = lane.flows[request.arrival.volume]
+        start, finish = self._tags(flow, request)
+        if self._reserved(request):
+            flow.reserve_finish = finish
+            request.volume.reserve -= units
+        else:
+            flow.finish = finish
+        lane.start = max(lane.start, start)
+        lane.finish = max(lane.finish, finish)
+        lane.run = lane.run + 1 if request.arrival.key == lane.key else 1
+        lane.key = request.arrival.key
+        self._leave(request)
+        if request.attempts:
+            self.extra.append(now)
+        if not request.drawn:
+            request.volume.limit -= units
+            request.drawn = True
+        request.attempts += 1
+        request.node = node
+        request.sent_at = now
+        node.out[request.arrival.request] = request
+        node.recent.append((now, units))
+        self.actions.append(Send(request.arrival.request, node.line.name))
+
+    def _compensate(self) -> None:
+        """ASFQ's feedback: delay what was served beyond its weighted share while others wait."""
+        self.period_end = self.now + PERIOD_MS
+        epsilon = EPSILON * self.set.usual_units
+        for lane in self.lanes.values():
+            shares = {}
+            for name, flow in lane.flows.items():
+                if flow.waiting:
+                    shares[name] = flow.served / self.set.plans[flow.waiting[0].arrival.plan].weight
+            lowest = min(shares.values(), default=0.0)
+            for name, flow in lane.flows.items():
+                gap = 0.0
+                if name in shares:
+                    weight = self.set.plans[flow.waiting[0].arrival.plan].weight
+                    gap = (shares[name] - lowest) * weight
+                # The paper keeps a compensation for ever; it fades here, so a past surge stops hurting.
+                flow.compensation = gap if gap > epsilon else flow.compensation * FADE
+                flow.served = 0.0
+
+    # --- guards: what a request needs besides its turn by tags
+
+    def _may_leave(self, request: _Request, node: _Node, room: float) -> bool:
+        units = request.arrival.units
+        if units > room:
+            return False
+        plan = self.set.plans[request.arrival.plan]
+        if plan.limit_rate and not request.drawn:
+            self._refill(request)
+            if request.volume.limit < units:
+                return False
+        if request.ran is not None and request.cls.effect is Effect.KEYED:
+            home = request.ran[1]
+            if request.cls.group is Group.SHARD and node.line.shard != home.shard:
+                return False
+            if request.cls.group is Group.ZONE and node.line.zone != home.zone:
+                return False
+        if request.attempts and self.set.budget_window_ms and not self._in_budget():
+            return False
+        if request.cls.in_turn and request.arrival.key:
+            turn = self.turns[request.arrival.key]
+            return turn.queue[0] is request and (request.attempts > 0 or self.now >= turn.rest_until)
+        return True
+
+    def _refill(self, request: _Request) -> None:
+        """Fill this host's even part of the volume's reserve and limit up to now."""
+        volume = request.volume
+        seconds = (self.now - volume.at) / 1000
+        if not seconds:
+            return
+        volume.at = self.now
+        plan = self.set.plans[request.arrival.plan]
+        most = plan.reserve / volume.writers + self.set.most_units
+        volume.reserve = min(most, volume.reserve + seconds * plan.reserve / volume.writers)
+        most = (plan.limit_burst + plan.limit_slack) / volume.writers * 0.999
+        volume.limit = min(most, volume.limit + seconds * plan.limit_rate / volume.writers)
+
+    def _in_budget(self) -> bool:
+        """Count further attempts over a little more than the window, requests over a little less."""
+        window, tick = self.set.budget_window_ms, self.set.tick_ms
+        while self.extra and self.extra[0] < self.now - window - tick:
+            self.extra.popleft()
+        while self.taken and self.taken[0] < self.now - window + tick:
+            self.taken.popleft()
+        return len(self.extra) + 1 <= self.set.budget_free + self.set.budget_share * len(self.taken)
+
+    def _cold_room(self, node: _Node) -> float:
+        """Units a node may still get within the cold window; no bound once it is surely warm."""
+        window, line = self.set.cold_window_ms, node.line
+        while node.recent and node.recent[0][0] <= self.now - window - self.set.tick_ms:
+            node.recent.popleft()
+        age = self.now - line.up_since_ms
+        if not line.up_since_ms or age >= self.set.warm_up_ms + window:
+            return FOREVER
+        if self.now < self.born + window:
+            return 0.0  # a former life of this host may have spent its part just now
+        grown = max(0.0, age - window) / max(1.0, self.set.warm_up_ms)
+        bears = self.set.cold_bears * (1 + (1 / self.set.cold_from - 1) * min(1.0, grown))
+        return bears / self.set.hosts - sum(units for _, units in node.recent)
+
+    # --- the timer
+
+    def _arm(self) -> None:
+        """One timer ahead: the next answer that is due, or the next look at what waits."""
+        due = min(self.ask_at, self.expiry[0][0] if self.expiry else FOREVER)
+        if any(lane.waiting for lane in self.lanes.values()):
+            due = min(due, self.now + BEAT * PERIOD_MS)
+        if due < self.armed or self.armed <= self.now:
+            self.armed = due
+            if due < FOREVER:
+                self.actions.append(SetTimer(max(due, self.now), self.count))
--- /dev/null
+++ b/cressrock/interface.py
@@ -0,0 +1,250 @@
+"""What goes into and comes out of the decision module: settings, events, actions, outcomes.
+
+Nothing here decides anything.  Times are milliseconds on the caller's clock; sizes are units.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, fields
+from enum import Enum
+
+
+class Effect(Enum):
+    """How far a request of a class may be repeated."""
+
+    REPEATABLE = "repeatable"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Group(Enum):
+    """Which nodes drop a repeat of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    SHARD = "shard"
+
+
+class Outcome(Enum):
+    """How an attempt ended.  FULL, NO_CONNECTION and MOOT prove that it never ran."""
+
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    NO_CONNECTION = "no connection"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    MOOT = "moot"
+
+
+class NodeState(Enum):
+    """What the node list says of a node's process."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    """What a report of the node list is."""
+
+    CHANGES = "changes"
+    COMPLETE = "complete"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+def _check(owner: object, positive: tuple[str, ...]) -> None:
+    """Refuse figures that make no sense, naming the field, before anything is decided by them."""
+    for field in fields(owner):  # type: ignore[arg-type]
+        value = getattr(owner, field.name)
+        if isinstance(value, bool) or not isinstance(value, (int, float)):
+            continue
+        low = value <= 0 if field.name in positive else value < 0
+        if low or value != value or value == float("inf"):
+            raise ValueError(f"{type(owner).__name__}.{field.name} makes no sense: {value!r}")
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """A class of requests: its aim, its deadline, its worth and what may be repeated."""
+
+    aim_ms: float
+    deadline_ms: float
+    worth: float = 1.0
+    late_worth: float = 0.0
+    effect: Effect = Effect.UNSAFE
+    group: Group = Group.SHARD
+    repeat_window_ms: float = 0.0
+    in_turn: bool = False
+    writes: bool = False
+
+    def __post_init__(self) -> None:
+        """Check the figures."""
+        _check(self, ("aim_ms", "deadline_ms"))
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """What a volume on this plan is owed over all hosts and nodes; limit_rate 0 means no limit."""
+
+    weight: float = 1.0
+    rate: float = 0.0
+    reserve: float = 0.0
+    price: float = 1.0
+    limit_rate: float = 0.0
+    limit_burst: float = 0.0
+    limit_slack: float = 0.0
+
+    def __post_init__(self) -> None:
+        """Check the figures."""
+        _check(self, ("weight",))
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """All that a host is told when it starts."""
+
+    classes: tuple[RequestClass, ...]
+    plans: tuple[Plan, ...] = (Plan(),)
+    hosts: int = 1
+    must_ask: bool = False
+    tick_ms: float = 1.0
+    max_attempts: int = 1
+    answer_slack_ms: float = 0.0
+    drain_grace_ms: float = 0.0
+    ask_every_ms: float = 0.0
+    cold_from: float = 1.0
+    warm_up_ms: float = 0.0
+    cold_window_ms: float = 0.0
+    cold_bears: float = 0.0
+    order_settle_ms: float = 0.0
+    budget_window_ms: float = 0.0
+    budget_free: float = 0.0
+    budget_share: float = 0.0
+    connect_timeout_ms: float = 0.0
+    advice_max_ms: float = 0.0
+    usual_units: float = 1.0
+    most_units: float = 1.0
+    share_worth: float = 1.0
+    spare_worth: float = 1.0
+    meter_period_ms: float = 0.0
+    tells_others: bool = False
+
+    def __post_init__(self) -> None:
+        """Check the figures."""
+        _check(self, ("hosts", "tick_ms", "max_attempts", "usual_units", "most_units", "cold_from"))
+        if not self.classes or not self.plans:
+            raise ValueError("Settings need at least one class and one plan")
+
+
+@dataclass(frozen=True, slots=True)
+class Node:
+    """One line of the node list; up_since_ms 0 means long ago."""
+
+    name: str
+    shard: int
+    zone: int = 0
+    up_since_ms: float = 0.0
+    state: NodeState = NodeState.READY
+
+
+@dataclass(frozen=True, slots=True)
+class NodeList:
+    """A report of the node list."""
+
+    kind: ListKind
+    nodes: tuple[Node, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A client's request; from now on one final answer is owed.  shard -1: any node may take it."""
+
+    request: str
+    volume: str
+    key: str
+    units: float
+    remaining_ms: float
+    plan: int = 0
+    request_class: int = 0
+    shard: int = -1
+    writers: int = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """An attempt's outcome; settled: the client has its final answer."""
+
+    request: str
+    attempt: int
+    outcome: Outcome
+    settled: bool
+    lag_ms: float
+    used: int = 0
+    elsewhere: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class ClientLeft:
+    """The client of a request no longer waits."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class Wake:
+    """A timer that the module set is due."""
+
+    token: int
+
+
+Event = NodeList | Arrival | Ended | ClientLeft | Wake
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Start the next attempt of a request at a node; within_ms 0 means until the client gives up."""
+
+    request: str
+    node: str
+    within_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """Final answer: a new try is harmless."""
+
+    request: str
+    stay_away_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """Final answer: nothing is promised of the effect."""
+
+    request: str
+
+
+@dataclass(frozen=True, slots=True)
+class SetTimer:
+    """Ask for a Wake at a time."""
+
+    at_ms: float
+    token: int
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """Ask the node list for a subscription to its changes."""
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    """A line for the on-call staff."""
+
+    text: str
+
+
+Action = Send | Refuse | Fail | SetTimer | Subscribe | Log
