--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -107,6 +107,7 @@
         self.ghosts: list[tuple[float, float]] = []  # (sent, until): timed out, may still hold a slot
         self.closed_until = 0.0
         self.backoff = 0.0
+        self.heard = 0.0  # when it last answered
         self.recent: deque[tuple[float, float]] = deque()  # (time, units) sent within the cold window
 
 
@@ -389,7 +390,7 @@
         """Steer D by the answers, and by what fails how soon a closed node is tried again."""
         now = self.now
         if outcome in (Outcome.OK, Outcome.ERROR):
-            node.backoff, node.closed_until = 0.0, 0.0
+            node.backoff, node.closed_until, node.heard = 0.0, 0.0, now
             # Nodes take work in turn: what was sent before an answered attempt is mostly done as well.
             node.ghosts = [g for g in node.ghosts if g[0] > request.sent_at]
             ratio = lag / request.cls.aim_ms
@@ -403,8 +404,9 @@
         elif outcome is Outcome.FULL:
             node.depth = max(1.0, node.depth / 2)
             node.closed_until = max(node.closed_until, now + max(node.lag, BEAT * PERIOD_MS))
-        elif outcome in (Outcome.TIMEOUT, Outcome.NO_CONNECTION):
-            # Hung, gone or refusing: one real request at a time tries it, at growing intervals.
+        elif outcome is Outcome.NO_CONNECTION or (outcome is Outcome.TIMEOUT and node.heard < request.sent_at):
+            # Hung, gone or refusing: one real request at a time tries it, at growing intervals.  A time-out
+            # while the node answers later attempts only means that the request was sent too late.
             if not node.backoff:
                 self._log(f"node {node.line.name}: {outcome.value}, now on trial")
             node.depth = 1.0
