--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -42,7 +42,7 @@
 LAG_TARGET = 0.45  # of a class's aim: the answer time at a node that D steers to
 SMOOTH = 0.15  # weight of the newest answer in a node's smoothed times
 NARROW = 0.85  # what is left of D after a round of answers over the target
-LAG_HEADROOM = 0.8  # of the smoothed answer time: a request that has less left before its aim is late
+LAG_HEADROOM = 1.4  # of the smoothed answer time: a request that has less left before its aim is late
 RESERVE_COST = 0.1  # of a unit's cost in tags while it lies inside the volume's reserve
 RUN = 4  # requests on one key that may follow each other out of tag order
 LOG_LINES = 100  # for a whole life
@@ -460,7 +460,8 @@
                 best = (tag, head)
         if best is not None:
             return best[1]
-        return self._first(lane.late, node, room)
+        # Late work earns little and stands before what comes next: it leaves only to an idle node.
+        return None if node.out else self._first(lane.late, node, room)
 
     def _first(self, waiting: list[_Request], node: _Node, room: float) -> _Request | None:
         """Pick a volume's head: the request with the nearest aim among those that may leave now."""
