--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -39,10 +39,11 @@
 BEAT = 0.2  # of a period: how often waiting work is looked at again when no event does it
 EPSILON = 2.0  # usual requests: a smaller gap between two volumes is noise
 FADE = 0.5  # what a period without unfairness leaves of a compensation
-LAG_TARGET = 0.45  # of a class's aim: the answer time at a node that D steers to
+LAG_TARGET = 0.2  # of a class's aim: the answer time at a node that D steers to
 SMOOTH = 0.15  # weight of the newest answer in a node's smoothed times
+UNHEARD = 0.8  # what a period with nothing out leaves of a node's smoothed times
 NARROW = 0.85  # what is left of D after a round of answers over the target
-LAG_HEADROOM = 1.4  # of the smoothed answer time: a request that has less left before its aim is late
+LAG_HEADROOM = 1.0  # of the smoothed answer time: a request that has less left before its aim is late
 RESERVE_COST = 0.1  # of a unit's cost in tags while it lies inside the volume's reserve
 RUN = 4  # requests on one key that may follow each other out of tag order
 LOG_LINES = 100  # for a whole life
@@ -461,7 +462,10 @@
         if best is not None:
             return best[1]
         # Late work earns little and stands before what comes next: it leaves only to an idle node.
-        return None if node.out else self._first(lane.late, node, room)
+        if node.out or node.ratio > LAG_TARGET:
+            return None
+        soonest = self.now + node.lag
+        return self._first([r for r in lane.late if r.end_at > soonest], node, room)
 
     def _first(self, waiting: list[_Request], node: _Node, room: float) -> _Request | None:
         """Pick a volume's head: the request with the nearest aim among those that may leave now."""
@@ -513,6 +517,11 @@
     def _compensate(self) -> None:
         """ASFQ's feedback: delay what was served beyond its weighted share while others wait."""
         self.period_end = self.now + PERIOD_MS
+        for node in self.nodes.values():
+            if not node.out:
+                # A bad figure keeps work away and so is never put right by an answer: let it fade.
+                node.lag *= UNHEARD
+                node.ratio *= UNHEARD
         epsilon = EPSILON * self.set.usual_units
         for lane in self.lanes.values():
             shares = {}
