--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -477,7 +477,7 @@
 
     def _reserved(self, request: _Request) -> bool:
         self._refill(request)
-        return request.volume.reserve >= request.arrival.units
+        return request.aim_at >= self.now and request.volume.reserve >= request.arrival.units
 
     def _tags(self, flow: _Flow, request: _Request) -> tuple[float, float]:
         """Start and finish tag; units inside the reserve run on a chain of their own at a lower cost."""
@@ -547,7 +547,9 @@
         plan = self.set.plans[request.arrival.plan]
         if plan.limit_rate and not request.drawn:
             self._refill(request)
-            if request.volume.limit < units:
+            # Late work takes only what the limit has to spare: the next on time would lack it.
+            spare = self._most_limit(request) / 2 if request.aim_at < self.now + node.lag else 0.0
+            if request.volume.limit < units + spare:
                 return False
         if request.ran is not None and request.cls.effect is Effect.KEYED:
             home = request.ran[1]
@@ -572,8 +574,11 @@
         plan = self.set.plans[request.arrival.plan]
         most = plan.reserve / volume.writers + self.set.most_units
         volume.reserve = min(most, volume.reserve + seconds * plan.reserve / volume.writers)
-        most = (plan.limit_burst + plan.limit_slack) / volume.writers * 0.999
-        volume.limit = min(most, volume.limit + seconds * plan.limit_rate / volume.writers)
+        volume.limit = min(self._most_limit(request), volume.limit + seconds * plan.limit_rate / volume.writers)
+
+    def _most_limit(self, request: _Request) -> float:
+        plan = self.set.plans[request.arrival.plan]
+        return (plan.limit_burst + plan.limit_slack) / request.volume.writers * 0.999
 
     def _in_budget(self) -> bool:
         """Count further attempts over a little more than the window, requests over a little less."""
