--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -405,7 +405,9 @@
         elif outcome is Outcome.FULL:
             node.depth = max(1.0, node.depth / 2)
             node.closed_until = max(node.closed_until, now + max(node.lag, BEAT * PERIOD_MS))
-        elif outcome is Outcome.NO_CONNECTION or (outcome is Outcome.TIMEOUT and node.heard < request.sent_at):
+        elif outcome is Outcome.NO_CONNECTION or (
+            outcome is Outcome.TIMEOUT and node.heard < request.sent_at
+        ):
             # Hung, gone or refusing: one real request at a time tries it, at growing intervals.  A time-out
             # while the node answers later attempts only means that the request was sent too late.
             if not node.backoff:
@@ -517,6 +519,8 @@
     def _compensate(self) -> None:
         """ASFQ's feedback: delay what was served beyond its weighted share while others wait."""
         self.period_end = self.now + PERIOD_MS
+        for key in [k for k, t in self.turns.items() if not t.queue and t.rest_until <= self.now]:
+            del self.turns[key]
         for node in self.nodes.values():
             if not node.out:
                 # A bad figure keeps work away and so is never put right by an answer: let it fade.
@@ -574,7 +578,8 @@
         plan = self.set.plans[request.arrival.plan]
         most = plan.reserve / volume.writers + self.set.most_units
         volume.reserve = min(most, volume.reserve + seconds * plan.reserve / volume.writers)
-        volume.limit = min(self._most_limit(request), volume.limit + seconds * plan.limit_rate / volume.writers)
+        gain = seconds * plan.limit_rate / volume.writers
+        volume.limit = min(self._most_limit(request), volume.limit + gain)
 
     def _most_limit(self, request: _Request) -> float:
         plan = self.set.plans[request.arrival.plan]
--- /dev/null
+++ b/tests/test_brain.py
@@ -0,0 +1,387 @@
+"""The module's ordinary path and guards, worked out by hand on awkward sequences."""
+
+import pytest
+
+from cressrock.brain import DEPTH, NEVER_RAN, PERIOD_MS, Brain
+from cressrock.interface import (
+    Arrival,
+    ClientLeft,
+    Effect,
+    Ended,
+    Fail,
+    Group,
+    ListKind,
+    Node,
+    NodeList,
+    NodeState,
+    Outcome,
+    Plan,
+    Refuse,
+    RequestClass,
+    Send,
+    Settings,
+    Subscribe,
+    Wake,
+)
+
+SAFE = RequestClass(aim_ms=300, deadline_ms=1500, worth=3, late_worth=0.1, effect=Effect.REPEATABLE)
+KEYED = RequestClass(
+    aim_ms=500, deadline_ms=4000, worth=2, effect=Effect.KEYED, group=Group.SHARD, repeat_window_ms=1000
+)
+UNSAFE = RequestClass(aim_ms=300, deadline_ms=1500, effect=Effect.UNSAFE)
+TURN = RequestClass(aim_ms=300, deadline_ms=1500, effect=Effect.REPEATABLE, in_turn=True)
+
+
+def settings(**changes):
+    figures = {
+        "classes": (SAFE, KEYED, UNSAFE, TURN),
+        "plans": (Plan(weight=1.0), Plan(weight=2.0), Plan(limit_rate=10, limit_burst=16, limit_slack=8)),
+        "hosts": 1,
+        "tick_ms": 2.0,
+        "max_attempts": 3,
+        "answer_slack_ms": 8.0,
+        "drain_grace_ms": 250.0,
+        "most_units": 8.0,
+        "usual_units": 2.0,
+        "cold_from": 0.2,
+        "warm_up_ms": 10000.0,
+        "cold_window_ms": 1000.0,
+        "cold_bears": 10.0,
+    }
+    return Settings(**(figures | changes))
+
+
+def nodes(*lines):
+    return NodeList(ListKind.COMPLETE, tuple(lines))
+
+
+ONE = (Node("a", 0),)
+
+
+def host(depth=1.0, lines=ONE, **changes):
+    """Start a host at time 0 with D set, so that an order can be worked out by hand."""
+    brain = Brain(settings(**changes), 7, 0.0)
+    brain.act(0.0, [NodeList(ListKind.CACHED, tuple(lines))])
+    for node in brain.nodes.values():
+        node.depth = depth
+    return brain
+
+
+def ask(name, volume="v", units=2.0, plan=0, cls=0, remaining=None, key="", shard=0, writers=1):
+    remaining = remaining or (1500.0, 4000.0, 1500.0, 1500.0)[cls]
+    return Arrival(name, volume, key or name, units, remaining, plan, cls, shard, writers)
+
+
+def done(name, outcome=Outcome.OK, attempt=0, lag=20.0, elsewhere=0.0):
+    return Ended(name, attempt, outcome, outcome is Outcome.OK, lag, 0, elsewhere)
+
+
+def sent(actions):
+    return [a.request for a in actions if isinstance(a, Send)]
+
+
+def finals(actions):
+    return [(type(a).__name__, a.request) for a in actions if isinstance(a, (Refuse, Fail))]
+
+
+def test_tags_order_volumes_by_units_over_weight():
+    brain = host()
+    assert sent(brain.act(0.0, [ask("first", "x")])) == ["first"]
+    # Volume a (weight 1): tags 0, 2, 4.  Volume b (weight 2): tags 0, 1, 2.  a joined first at ties.
+    batch = [ask(f"a{i}", "a") for i in range(3)] + [ask(f"b{i}", "b", plan=1) for i in range(3)]
+    assert sent(brain.act(1.0, batch)) == []
+    order, last = [], "first"
+    for step in range(6):
+        brain.nodes["a"].depth = 0.6  # whatever the last answer made of it
+        (last,) = sent(brain.act(2.0 + step, [done(last, lag=1.0)]))
+        order.append(last)
+    assert order == ["a0", "b0", "b1", "a1", "b2", "a2"]
+
+
+def test_an_idle_volume_gets_no_credit_for_its_past():
+    brain = host()
+    brain.act(0.0, [ask("busy0", "busy"), ask("busy1", "busy"), ask("busy2", "busy")])
+    brain.act(1.0, [done("busy0", lag=1.0)])
+    brain.act(2.0, [done("busy1", lag=1.0), ask("new0", "new"), ask("new1", "new")])
+    lane = brain.lanes[0]
+    # busy2 with start tag 4 is out: a newcomer starts at the virtual time, not at nought.
+    assert lane.start == 4.0
+    assert [r.clock for r in lane.flows["new"].waiting] == [4.0, 4.0]
+
+
+def test_no_more_than_d_are_out():
+    brain = host(depth=3.0)
+    assert len(sent(brain.act(0.0, [ask(f"r{i}") for i in range(20)]))) == 3
+    assert len(sent(brain.act(1.0, [done("r0", lag=1.0)]))) >= 1
+    assert len(brain.nodes["a"].out) <= DEPTH
+
+
+def test_d_falls_when_answers_are_slow_and_grows_when_quick():
+    brain = host(depth=4.0)
+    name = 0
+    brain.act(0.0, [ask(f"r{i}") for i in range(30)])
+    for step in range(8):
+        out = next(iter(brain.nodes["a"].out))
+        brain.act(10.0 + step, [done(out, lag=5.0)])
+        name += 1
+    grown = brain.nodes["a"].depth
+    assert grown > 4.0
+    for step in range(8):
+        out = next(iter(brain.nodes["a"].out))
+        brain.act(30.0 + step, [done(out, lag=290.0)])
+    assert brain.nodes["a"].depth < grown
+
+
+def test_a_full_node_halves_d_and_rests():
+    brain = host(depth=4.0)
+    brain.act(0.0, [ask(f"r{i}") for i in range(6)])
+    actions = brain.act(1.0, [done("r0", Outcome.FULL, lag=1.0)])
+    assert brain.nodes["a"].depth == 2.0
+    assert sent(actions) == []
+
+
+def test_compensation_delays_the_over_served_and_fades():
+    brain = host(depth=1.0)
+    brain.act(0.0, [ask("x"), *[ask(f"a{i}", "a") for i in range(9)], *[ask(f"b{i}", "b") for i in range(9)]])
+    brain.act(1.0, [done("x", lag=1.0)])
+    out = next(iter(brain.nodes["a"].out))
+    # Other hosts had the node serve 30 units for the volume of the request that is answered now.
+    brain.act(2.0, [done(out, lag=1.0, elsewhere=30.0)])
+    brain.act(PERIOD_MS + 1, [Wake(0)])
+    flows = brain.lanes[0].flows
+    assert flows["a"].compensation == pytest.approx(32.0)
+    assert flows["b"].compensation == 0.0
+    brain.act(2 * PERIOD_MS + 2, [Wake(0)])
+    assert 0.0 < flows["a"].compensation < 32.0
+
+
+def test_every_held_request_is_answered_before_its_time_is_up():
+    brain = host(lines=())
+    brain.act(0.0, [ask("r", remaining=100.0)])
+    assert finals(brain.act(90.0, [Wake(0)])) == []
+    assert finals(brain.act(96.5, [Wake(0)])) == [("Refuse", "r")]
+    assert finals(brain.act(200.0, [Wake(0)])) == []
+    assert brain.requests == {}
+
+
+def test_a_request_that_is_out_is_failed_at_its_deadline_without_an_outcome():
+    brain = host()
+    brain.act(0.0, [ask("r", cls=2, remaining=100.0)])
+    assert finals(brain.act(97.0, [Wake(0)])) == []
+    assert finals(brain.act(101.0, [Wake(0)])) == [("Fail", "r")]
+    assert sent(brain.act(102.0, [done("r", Outcome.TIMEOUT, lag=102.0)])) == []
+    assert brain.requests == {}
+
+
+@pytest.mark.parametrize("outcome", [o for o in Outcome if o is not Outcome.OK])
+def test_an_unsafe_request_is_tried_again_only_if_it_never_ran(outcome):
+    brain = host()
+    brain.act(0.0, [ask("r", cls=2)])
+    actions = brain.act(1.0, [done("r", outcome, lag=1.0)])
+    actions += brain.act(700.0, [Wake(0)])
+    if outcome in NEVER_RAN:
+        assert sent(actions) == ["r"]
+    else:
+        assert sent(actions) == []
+        assert finals(actions) == [("Fail", "r")]
+
+
+def test_a_keyed_repeat_stays_in_its_group_and_window():
+    brain = host(lines=(Node("a", 0), Node("b", 1)))
+    (first,) = [a for a in brain.act(0.0, [ask("r", cls=1, shard=-1)]) if isinstance(a, Send)]
+    home = brain.nodes[first.node].line.shard
+    other = "b" if first.node == "a" else "a"
+    keep = Node(other, 1 - home)
+    # Its own node is gone: the repeat must not go to the other shard, and cannot be refused.
+    brain.act(1.0, [NodeList(ListKind.COMPLETE, (keep,))])
+    actions = brain.act(2.0, [done("r", Outcome.RESET, lag=2.0)])
+    assert sent(actions) == []
+    for now in range(100, 1200, 50):
+        actions += brain.act(float(now), [Wake(0)])
+    assert sent(actions) == []
+    assert finals(actions) == [("Fail", "r")]
+
+
+def test_a_keyed_repeat_goes_to_the_node_that_took_over_the_shard():
+    brain = host()
+    brain.act(0.0, [ask("r", cls=1)])
+    brain.act(1.0, [nodes(Node("c", 0))])
+    actions = brain.act(2.0, [done("r", Outcome.RESET, lag=2.0)])
+    assert [a.node for a in actions if isinstance(a, Send)] == ["c"]
+
+
+def test_nothing_new_to_a_draining_or_gone_node():
+    for line in (Node("a", 0, state=NodeState.DRAINING), Node("a", 0, state=NodeState.GONE)):
+        brain = host()
+        brain.act(0.0, [NodeList(ListKind.CHANGES, (line,))])
+        actions = brain.act(0.0, [ask("r")])
+        for now in (100.0, 1000.0, 1497.0):
+            actions += brain.act(now, [Wake(0)])
+        assert sent(actions) == []
+        assert finals(actions) == [("Refuse", "r")]
+
+
+def test_a_cold_node_gets_this_hosts_part_and_more_as_it_warms():
+    line = Node("a", 0, up_since_ms=1.0)
+    brain = host(lines=(line,), hosts=2)
+    units = {now: 0.0 for now in range(0, 12000, 500)}
+    for now in units:
+        for node in brain.nodes.values():
+            node.depth = DEPTH
+        actions = brain.act(float(now), [ask(f"r{now}-{i}", units=1.0, remaining=400.0) for i in range(30)])
+        for name in sent(actions):
+            units[now] += 1.0
+            brain.act(float(now), [done(name, lag=1.0)])
+    starts = sorted(units)
+    assert units[0] == 0.0 and units[500] == 0.0  # a former life may have spent the first window's part
+    for a, b in zip(starts, starts[1:], strict=False):
+        if b <= 10000:
+            grown = 0.2 + 0.8 * max(0.0, b - 1000) / 10000
+            assert units[a] + units[b] <= 10.0 / 2 * grown / 0.2 + 1e-9
+    assert sum(units.values()) > 20
+
+
+def test_order_waits_for_the_earlier_and_rests_after_a_time_out():
+    brain = host(depth=5.0, order_settle_ms=400.0)
+    assert sent(brain.act(0.0, [ask("r1", cls=3, key="k"), ask("r2", cls=3, key="k")])) == ["r1"]
+    # The earlier one is over by the client's leaving but still out: the later one waits.
+    assert sent(brain.act(1.0, [ClientLeft("r1")])) == []
+    assert sent(brain.act(2.0, [done("r1", Outcome.TIMEOUT, lag=2.0)])) == []
+    assert sent(brain.act(300.0, [Wake(0)])) == []
+    later = brain.act(403.0, [Wake(0)]) + brain.act(900.0, [Wake(0)])
+    assert sent(later) == ["r2"]
+
+
+def test_further_attempts_stay_within_the_budget():
+    brain = host(depth=10.0, budget_window_ms=5000.0, budget_free=1.0, budget_share=0.0, max_attempts=9)
+    brain.act(0.0, [ask("r1"), ask("r2")])
+    actions = []
+    for step in range(60):
+        events = [Wake(0)]
+        for request in list(brain.nodes["a"].out.values()):
+            name = request.arrival.request
+            events.append(done(name, Outcome.FULL, request.attempts - 1, 1.0))
+        actions += brain.act(10.0 + 20 * step, events)
+    assert len(sent(actions)) == 1
+
+
+def test_a_limit_starts_empty_and_holds_this_hosts_part():
+    brain = host(depth=10.0)
+    total = 0.0
+    for step in range(400):
+        now = 50.0 * step
+        actions = brain.act(now, [ask(f"r{step}", plan=2, units=1.0, writers=2, remaining=400.0)])
+        total += len(sent(actions))
+        assert total <= (16 + 8) / 2 + 10 / 2 * now / 1000
+        assert total <= 10 / 2 * now / 1000 + 1e-6  # as if a former life had spent it all
+        for name in sent(actions):
+            brain.act(now, [done(name, lag=1.0)])
+    assert total > 60
+
+
+def test_late_work_leaves_the_limit_to_what_is_on_time():
+    brain = host(depth=1.0)
+    # Filling at 10 units a second, the limit pays for 8 units only after the aim of 300 ms.
+    actions = brain.act(0.0, [ask("old", plan=2, units=8.0)])
+    for now in range(20, 1000, 20):
+        actions += brain.act(float(now), [Wake(0)])
+    assert sent(actions) == [] and brain.volumes["v"].limit > 8.0
+    assert sent(brain.act(1000.0, [ask("new", plan=2, units=2.0)])) == ["new"]
+
+
+def test_a_node_that_is_heard_is_not_condemned_by_one_time_out():
+    brain = host(depth=4.0)
+    brain.act(0.0, [ask("r0"), ask("r1")])
+    brain.act(1499.0, [done("r1", lag=30.0)])
+    brain.act(1500.0, [done("r0", Outcome.TIMEOUT, lag=1500.0)])
+    assert brain.nodes["a"].backoff == 0.0
+
+
+def test_a_hung_node_is_tried_with_one_request_at_growing_intervals():
+    brain = host(depth=4.0)
+    brain.act(0.0, [ask(f"r{i}") for i in range(4)])
+    brain.act(1500.0, [done(f"r{i}", Outcome.TIMEOUT, lag=1500.0) for i in range(4)])
+    trials = 0
+    for step in range(40):
+        now = 1500.0 + 50 * step
+        actions = brain.act(now, [ask(f"n{step}", remaining=3000.0)])
+        trials += len(sent(actions))
+        assert len(brain.nodes["a"].out) <= 1
+        for name in sent(actions):
+            brain.act(now, [done(name, Outcome.NO_CONNECTION, lag=1.0)])
+    assert 2 <= trials <= 6
+
+
+def test_a_bad_figure_fades_so_that_a_node_is_not_locked_out():
+    brain = host()
+    node = brain.nodes["a"]
+    node.lag, node.ratio = 5000.0, 10.0
+    got = []
+    for step in range(60):
+        got += sent(brain.act(50.0 * step, [ask(f"r{step}")]))
+    assert got
+
+
+def test_a_failing_list_is_asked_again_with_growing_waits():
+    brain = Brain(settings(must_ask=True, ask_every_ms=10000.0), 3, 0.0)
+    asked, now = [], 0.0
+    brain.act(0.0, [NodeList(ListKind.CACHED, (Node("a", 0),))])
+    while now < 20000.0:
+        now += 20.0
+        if any(isinstance(a, Subscribe) for a in brain.act(now, [Wake(0)])):
+            asked.append(now)
+            brain.act(now, [NodeList(ListKind.FAILED)])
+    gaps = [b - a for a, b in zip(asked, asked[1:], strict=False)]
+    assert len(asked) > 3 and max(gaps) <= 7600 and gaps[-1] > gaps[0]
+
+
+def test_new_objects_avoid_cold_closed_and_missing_nodes():
+    lines = (Node("a", 0, up_since_ms=900.0), Node("b", 1), Node("c", 2, state=NodeState.DRAINING))
+    brain = host(depth=9.0, lines=lines)
+    actions = brain.act(1000.0, [ask(f"r{i}", shard=-1) for i in range(6)])
+    assert {a.node for a in actions if isinstance(a, Send)} == {"b"}
+
+
+def test_a_restart_during_a_drain_with_a_late_list():
+    """The old list names a node that is draining; it is not sent to once the news is in."""
+    brain = host(lines=(Node("old", 0),))
+    brain.act(0.0, [ask("r0")])
+    brain.act(10.0, [NodeList(ListKind.CHANGES, (Node("old", 0, state=NodeState.DRAINING),))])
+    actions = brain.act(20.0, [done("r0", Outcome.RESET, lag=20.0)])
+    assert sent(actions) == []
+    fresh = Node("new", 0, up_since_ms=15.0)
+    actions = brain.act(1500.0 - 300, [NodeList(ListKind.CHANGES, (fresh,))])
+    assert [a.node for a in actions if isinstance(a, Send)] == ["new"]
+
+
+def test_a_surge_on_a_slow_node_does_not_pass_the_limit_nor_stall_the_rest():
+    brain = host(depth=1.0)
+    brain.act(0.0, [ask("warm", "calm", plan=1)])
+    surge = [ask(f"s{i}", "surge", plan=2) for i in range(40)]
+    brain.act(10.0, surge + [ask("c1", "calm", plan=1)])
+    actions = brain.act(20.0, [done("warm", lag=20.0)])
+    assert sent(actions) == ["c1"]
+
+
+def test_odd_but_legal_events_change_nothing():
+    brain = host()
+    before = brain.act(0.0, [])
+    assert finals(before) == []
+    odd = [done("none"), ClientLeft("none"), Wake(99), NodeList(ListKind.CHANGES), NodeList(ListKind.FAILED)]
+    assert sent(brain.act(1.0, odd)) == []
+    assert sent(brain.act(2.0, [NodeList(ListKind.COMPLETE), ask("r")])) == []
+
+
+@pytest.mark.parametrize(
+    ("build", "field"),
+    [
+        (lambda: Plan(weight=0), "weight"),
+        (lambda: Plan(limit_rate=-1), "limit_rate"),
+        (lambda: RequestClass(aim_ms=0, deadline_ms=1), "aim_ms"),
+        (lambda: settings(hosts=0), "hosts"),
+        (lambda: settings(warm_up_ms=float("nan")), "warm_up_ms"),
+    ],
+)
+def test_settings_that_make_no_sense_are_refused_by_name(build, field):
+    with pytest.raises(ValueError, match=field):
+        build()
