--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -40,12 +40,12 @@
 EPSILON = 2.0  # usual requests: a smaller gap between two volumes is noise
 FADE = 0.5  # what a period without unfairness leaves of a compensation
 LAG_TARGET = 0.2  # of a class's aim: the answer time at a node that D steers to
-SMOOTH = 0.15  # weight of the newest answer in a node's smoothed times
+SMOOTH = 0.3  # weight of the newest answer in a node's smoothed times
 UNHEARD = 0.8  # what a period with nothing out leaves of a node's smoothed times
-NARROW = 0.85  # what is left of D after a round of answers over the target
+WIDEN = 0.25  # added to D by a round of answers within the target while D is in use
+NARROW = 0.7  # what is left of D after a round of answers over the target
 LAG_HEADROOM = 1.0  # of the smoothed answer time: a request that has less left before its aim is late
 RESERVE_COST = 0.1  # of a unit's cost in tags while it lies inside the volume's reserve
-RUN = 4  # requests on one key that may follow each other out of tag order
 LOG_LINES = 100  # for a whole life
 
 NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.MOOT)
@@ -121,8 +121,6 @@
         self.node: _Node | None = None
         self.start = 0.0  # highest start and finish tags sent
         self.finish = 0.0
-        self.key = ""
-        self.run = 0
         self.waiting = 0
 
 
@@ -401,7 +399,7 @@
             if node.ratio > LAG_TARGET:
                 node.depth = max(1.0, node.depth * NARROW ** (1 / max(1.0, node.depth)))
             elif len(node.out) + 1 >= int(node.depth):
-                node.depth = min(DEPTH, node.depth + 0.5 / node.depth)
+                node.depth = min(DEPTH, node.depth + WIDEN / node.depth)
         elif outcome is Outcome.FULL:
             node.depth = max(1.0, node.depth / 2)
             node.closed_until = max(node.closed_until, now + max(node.lag, BEAT * PERIOD_MS))
@@ -456,8 +454,6 @@
             head = self._first(flow.waiting, node, room)
             if head is None:
                 continue
-            if head.arrival.key == lane.key and 0 < lane.run < RUN:
-                return head  # the node still holds this piece of data: the work costs it less now
             tag = self._tags(flow, head)[0] + (0.0 if self._reserved(head) else flow.compensation)
             if best is None or tag < best[0]:
                 best = (tag, head)
@@ -470,11 +466,12 @@
         return self._first([r for r in lane.late if r.end_at > soonest], node, room)
 
     def _first(self, waiting: list[_Request], node: _Node, room: float) -> _Request | None:
-        """Pick a volume's head: the request with the nearest aim among those that may leave now."""
-        head = None
+        """Pick a volume's head: most worth first, then nearest aim, among those that may leave now."""
+        head, least = None, (FOREVER, FOREVER)
         for request in waiting:
-            if (head is None or request.aim_at < head.aim_at) and self._may_leave(request, node, room):
-                head = request
+            rank = (-request.cls.worth, request.aim_at)
+            if rank < least and self._may_leave(request, node, room):
+                head, least = request, rank
         return head
 
     def _reserved(self, request: _Request) -> bool:
@@ -501,8 +498,6 @@
             flow.finish = finish
         lane.start = max(lane.start, start)
         lane.finish = max(lane.finish, finish)
-        lane.run = lane.run + 1 if request.arrival.key == lane.key else 1
-        lane.key = request.arrival.key
         self._leave(request)
         if request.attempts:
             self.extra.append(now)
