--- a/cressrock/benchlink.py
+++ b/cressrock/benchlink.py
@@ -14,6 +14,7 @@
 from cressrock.interface import (
     Action,
     Arrival,
+    Cancel,
     ClientLeft,
     Effect,
     Ended,
@@ -140,6 +141,7 @@
     return Settings(
         classes=tuple(classes),
         plans=plans or (Plan(),),
+        may_cancel=bool((config.get("caps") or {}).get("cancel", False)),
         must_ask=config.get("membership_mode") == "ask",
         tells_others=bool(family.get("counts_others", False)),
         **figures,
@@ -204,6 +206,8 @@
             return f"BOUNCE dispatcher={instance} tid={request}{advice}"
         case Fail(request):
             return f"REPORT_FAILURE dispatcher={instance} tid={request}"
+        case Cancel(request, attempt):
+            return f"ABORT_ATTEMPT dispatcher={instance} tid={request} shot={attempt}"
         case Subscribe():
             return f"KEEP_INFORMED dispatcher={instance} active=1"
         case Log(text):
--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -15,6 +15,7 @@
 from cressrock.interface import (
     Action,
     Arrival,
+    Cancel,
     ClientLeft,
     Effect,
     Ended,
@@ -41,6 +42,7 @@
 FADE = 0.5  # what a period without unfairness leaves of a compensation
 LAG_TARGET = 0.2  # of a class's aim: the answer time at a node that D steers to
 SMOOTH = 0.3  # weight of the newest answer in a node's smoothed times
+LOST = 10.0  # times the answer expected of its class: an overtaken attempt out for longer is taken as lost
 UNHEARD = 0.8  # what a period with nothing out leaves of a node's smoothed times
 WIDEN = 0.25  # added to D by a round of answers within the target while D is in use
 NARROW = 0.7  # what is left of D after a round of answers over the target
@@ -105,6 +107,8 @@
         self.lag = 0.0  # smoothed answer time
         self.ratio = 0.0  # the same over the class's aim
         self.out: dict[str, _Request] = {}
+        self.strays: dict[str, _Request] = {}  # out, but taken as lost: hold no slot
+        self.overtaken = 0.0  # sending time of the latest attempt that was answered
         self.ghosts: list[tuple[float, float]] = []  # (sent, until): timed out, may still hold a slot
         self.closed_until = 0.0
         self.backoff = 0.0
@@ -176,6 +180,9 @@
             self._compensate()
         if now_ms >= self.ask_at:
             self._ask()
+        for node in self.nodes.values():
+            if node.out:
+                self._strays(node)
         for lane in self.lanes.values():
             if lane.waiting and lane.node is not None:
                 self._dispatch(lane, lane.node)
@@ -259,7 +266,8 @@
             return
         now, node, outcome = self.now, request.node, event.outcome
         request.node = None
-        del node.out[event.request]
+        if node.out.pop(event.request, None) is None:
+            del node.strays[event.request]
         self._health(node, request, outcome, event.lag_ms)
         if outcome in MAY_STILL_RUN and request.cls.in_turn and request.arrival.key in self.turns:
             self.turns[request.arrival.key].rest_until = now + self.set.order_settle_ms
@@ -311,6 +319,9 @@
         if request is not None and not request.ended:
             self._leave(request)
             request.ended = True
+            if request.node is not None and self.set.may_cancel:
+                # Nobody waits for it: a node that drops what still queues is spared the work.
+                self.actions.append(Cancel(event.request, request.attempts - 1))
             self._forget(request)
 
     def _forget(self, request: _Request) -> None:
@@ -364,8 +375,9 @@
 
     def _assign(self) -> None:
         """Give each lane its ready node, the one that came up last; move new objects that wait for none."""
-        for name in [n for n, v in self.nodes.items() if v.line.state is NodeState.GONE and not v.out]:
-            del self.nodes[name]
+        for name, node in list(self.nodes.items()):
+            if node.line.state is NodeState.GONE and not (node.out or node.strays):
+                del self.nodes[name]
         for lane in self.lanes.values():
             lane.node = None
         for node in self.nodes.values():
@@ -390,6 +402,7 @@
         now = self.now
         if outcome in (Outcome.OK, Outcome.ERROR):
             node.backoff, node.closed_until, node.heard = 0.0, 0.0, now
+            node.overtaken = max(node.overtaken, request.sent_at)
             # Nodes take work in turn: what was sent before an answered attempt is mostly done as well.
             node.ghosts = [g for g in node.ghosts if g[0] > request.sent_at]
             ratio = lag / request.cls.aim_ms
@@ -416,6 +429,29 @@
             if outcome is Outcome.TIMEOUT:
                 node.ghosts.append((request.sent_at, now + lag))
 
+    @staticmethod
+    def _expected(node: _Node, request: _Request) -> float:
+        """Answer time to expect of a request's class at a node."""
+        return max(node.lag, (node.ratio or LAG_TARGET) * request.cls.aim_ms)
+
+    def _strays(self, node: _Node) -> None:
+        """Free the slots of attempts whose answer seems lost, and try again what can make its aim yet.
+
+        Danger: a few answers in a hundred lost on the way hold every slot until the deadline.  Only an
+        attempt that later ones overtook counts, so a pause, a hang or a jam of all work never does; harm
+        would come from a node that holds single requests back for long, which then gets up to D more.
+        """
+        for name, request in list(node.out.items()):
+            if request.sent_at >= node.overtaken:
+                break
+            expected = self._expected(node, request)
+            if self.now - request.sent_at > LOST * expected:
+                node.strays[name] = node.out.pop(name)
+                again = request.cls.effect is not Effect.UNSAFE and request.attempts < self.set.max_attempts
+                if again and self.set.may_cancel and not request.ended:
+                    if self.now + expected < request.aim_at and self._in_budget():
+                        self.actions.append(Cancel(name, request.attempts - 1))
+
     def _log(self, text: str) -> None:
         if self.logged < LOG_LINES:
             self.logged += 1
@@ -425,12 +461,16 @@
 
     def _room(self, node: _Node) -> bool:
         """Whether fewer than D are out, counting what timed out and may still run."""
-        if self.now < node.closed_until or len(node.out) >= DEPTH:
+        if self.now < node.closed_until or len(node.out) >= DEPTH or len(node.strays) >= DEPTH:
             return False
         if not node.out:
             return True  # a node on trial is tried with one request even while ghosts hold its slots
         node.ghosts = [g for g in node.ghosts if g[1] > self.now]
-        return len(node.out) + len(node.ghosts) < int(node.depth)
+        held = len(node.out) + len(node.ghosts)
+        oldest = next(iter(node.out.values()))
+        # With every slot held by what may be lost nothing could overtake it: one more finds out.
+        over = not node.backoff and self.now - oldest.sent_at > LOST * self._expected(node, oldest)
+        return held < int(node.depth) + over
 
     def _dispatch(self, lane: _Lane, node: _Node) -> None:
         room = self._cold_room(node)
@@ -460,7 +500,7 @@
         if best is not None:
             return best[1]
         # Late work earns little and stands before what comes next: it leaves only to an idle node.
-        if node.out or node.ratio > LAG_TARGET:
+        if node.out or node.strays or node.ratio > LAG_TARGET:
             return None
         soonest = self.now + node.lag
         return self._first([r for r in lane.late if r.end_at > soonest], node, room)
@@ -517,7 +557,7 @@
         for key in [k for k, t in self.turns.items() if not t.queue and t.rest_until <= self.now]:
             del self.turns[key]
         for node in self.nodes.values():
-            if not node.out:
+            if not (node.out or node.strays) and node.ratio > LAG_TARGET:
                 # A bad figure keeps work away and so is never put right by an answer: let it fade.
                 node.lag *= UNHEARD
                 node.ratio *= UNHEARD
@@ -556,7 +596,7 @@
                 return False
             if request.cls.group is Group.ZONE and node.line.zone != home.zone:
                 return False
-        if request.attempts and self.set.budget_window_ms and not self._in_budget():
+        if request.attempts and not self._in_budget():
             return False
         if request.cls.in_turn and request.arrival.key:
             turn = self.turns[request.arrival.key]
@@ -583,6 +623,8 @@
     def _in_budget(self) -> bool:
         """Count further attempts over a little more than the window, requests over a little less."""
         window, tick = self.set.budget_window_ms, self.set.tick_ms
+        if not window:
+            return True
         while self.extra and self.extra[0] < self.now - window - tick:
             self.extra.popleft()
         while self.taken and self.taken[0] < self.now - window + tick:
@@ -608,7 +650,7 @@
     def _arm(self) -> None:
         """One timer ahead: the next answer that is due, or the next look at what waits."""
         due = min(self.ask_at, self.expiry[0][0] if self.expiry else FOREVER)
-        if any(lane.waiting for lane in self.lanes.values()):
+        if any(lane.waiting for lane in self.lanes.values()) or any(n.out for n in self.nodes.values()):
             due = min(due, self.now + BEAT * PERIOD_MS)
         if due < self.armed or self.armed <= self.now:
             self.armed = due
--- a/cressrock/interface.py
+++ b/cressrock/interface.py
@@ -110,6 +110,7 @@
     plans: tuple[Plan, ...] = (Plan(),)
     hosts: int = 1
     must_ask: bool = False
+    may_cancel: bool = False
     tick_ms: float = 1.0
     max_attempts: int = 1
     answer_slack_ms: float = 0.0
@@ -227,6 +228,14 @@
     request: str
 
 
+@dataclass(frozen=True, slots=True)
+class Cancel:
+    """End the wait on an attempt; its outcome still comes.  The node may go on with the work."""
+
+    request: str
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class SetTimer:
     """Ask for a Wake at a time."""
@@ -247,4 +256,4 @@
     text: str
 
 
-Action = Send | Refuse | Fail | SetTimer | Subscribe | Log
+Action = Send | Refuse | Fail | Cancel | SetTimer | Subscribe | Log
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -5,6 +5,7 @@
 from cressrock.brain import DEPTH, NEVER_RAN, PERIOD_MS, Brain
 from cressrock.interface import (
     Arrival,
+    Cancel,
     ClientLeft,
     Effect,
     Ended,
@@ -385,3 +386,30 @@
 def test_settings_that_make_no_sense_are_refused_by_name(build, field):
     with pytest.raises(ValueError, match=field):
         build()
+
+
+def test_an_overtaken_attempt_frees_its_slot_and_is_tried_again():
+    """Danger: one answer in ten lost on the way holds every slot of a healthy node until the deadline."""
+    brain = host(depth=2.0, may_cancel=True)
+    brain.act(0.0, [ask("lost", remaining=1500.0), ask("r0")])
+    node = brain.nodes["a"]
+    actions, out = [], "r0"
+    for step in range(1, 60):
+        node.depth = 1.0
+        new = ask(f"r{step}")
+        events = [done(out, lag=5.0)] if out else []
+        got = brain.act(5.0 * step, [*events, new])
+        actions += got
+        out = sent(got)[-1] if sent(got) else None
+    assert "lost" not in node.out
+    assert [(a.request, a.attempt) for a in actions if isinstance(a, Cancel)] == [("lost", 0)]
+    more = brain.act(300.0, [done("lost", Outcome.CANCELLED, lag=300.0)])
+    assert finals(more) == [] and "lost" in brain.requests
+
+
+def test_a_silence_of_all_attempts_is_not_taken_for_lost_answers():
+    brain = host(depth=4.0, may_cancel=True)
+    brain.act(0.0, [ask(f"r{i}") for i in range(4)])
+    actions = brain.act(200.0, [Wake(0)])
+    assert not any(isinstance(a, Cancel) for a in actions)
+    assert len(brain.nodes["a"].out) == 4
