--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -99,7 +99,7 @@
 
 
 class _Node:
-    """A node as its answers show it: window D, answer times, and what may still run there."""
+    """A node as its answers show it: window D, answer times, and what is out there."""
 
     def __init__(self, depth: float) -> None:
         self.line: Node | None = None
@@ -109,7 +109,6 @@
         self.out: dict[str, _Request] = {}
         self.strays: dict[str, _Request] = {}  # out, but taken as lost: hold no slot
         self.overtaken = 0.0  # sending time of the latest attempt that was answered
-        self.ghosts: list[tuple[float, float]] = []  # (sent, until): timed out, may still hold a slot
         self.closed_until = 0.0
         self.backoff = 0.0
         self.heard = 0.0  # when it last answered
@@ -364,8 +363,8 @@
         for name, line in listed.items():
             node = self.nodes.setdefault(name, _Node(max(1.0, DEPTH / self.set.hosts)))
             if node.line is not None and node.line.up_since_ms != line.up_since_ms:
-                # A restarted process has forgotten its jam: what timed out runs no longer.
-                node.ghosts, node.closed_until, node.backoff, node.depth = [], 0.0, 0.0, 1.0
+                # A restarted process has forgotten its jam: its trial ends, D starts low.
+                node.closed_until, node.backoff, node.depth = 0.0, 0.0, 1.0
             node.line = line
         self._assign()
 
@@ -403,8 +402,6 @@
         if outcome in (Outcome.OK, Outcome.ERROR):
             node.backoff, node.closed_until, node.heard = 0.0, 0.0, now
             node.overtaken = max(node.overtaken, request.sent_at)
-            # Nodes take work in turn: what was sent before an answered attempt is mostly done as well.
-            node.ghosts = [g for g in node.ghosts if g[0] > request.sent_at]
             ratio = lag / request.cls.aim_ms
             weight = SMOOTH if node.lag else 1.0
             node.lag += weight * (lag - node.lag)
@@ -426,8 +423,6 @@
             node.depth = 1.0
             node.backoff = min(max(2 * node.backoff, PERIOD_MS), 4 * self.aim)
             node.closed_until = now + node.backoff
-            if outcome is Outcome.TIMEOUT:
-                node.ghosts.append((request.sent_at, now + lag))
 
     @staticmethod
     def _expected(node: _Node, request: _Request) -> float:
@@ -460,17 +455,18 @@
     # --- the ordinary path: tags, D and compensation
 
     def _room(self, node: _Node) -> bool:
-        """Whether fewer than D are out, counting what timed out and may still run."""
+        """Whether fewer than D are out.
+
+        What timed out may still run: D falls to one with it and the node rests, so no slot is free at once.
+        """
         if self.now < node.closed_until or len(node.out) >= DEPTH or len(node.strays) >= DEPTH:
             return False
         if not node.out:
-            return True  # a node on trial is tried with one request even while ghosts hold its slots
-        node.ghosts = [g for g in node.ghosts if g[1] > self.now]
-        held = len(node.out) + len(node.ghosts)
+            return True
         oldest = next(iter(node.out.values()))
         # With every slot held by what may be lost nothing could overtake it: one more finds out.
         over = not node.backoff and self.now - oldest.sent_at > LOST * self._expected(node, oldest)
-        return held < int(node.depth) + over
+        return len(node.out) < int(node.depth) + over
 
     def _dispatch(self, lane: _Lane, node: _Node) -> None:
         room = self._cold_room(node)
