--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -399,10 +399,14 @@
     def _health(self, node: _Node, request: _Request, outcome: Outcome, lag: float) -> None:
         """Steer D by the answers, and by what fails how soon a closed node is tried again."""
         now = self.now
-        if outcome in (Outcome.OK, Outcome.ERROR):
+        ratio = lag / request.cls.aim_ms
+        answered = outcome in (Outcome.OK, Outcome.ERROR)
+        if answered:
             node.backoff, node.closed_until, node.heard = 0.0, 0.0, now
             node.overtaken = max(node.overtaken, request.sent_at)
-            ratio = lag / request.cls.aim_ms
+        # Danger: clients that leave early take the slow answers with them, so a jam looks like a healthy
+        # node.  An attempt that ended without an answer took at least this long.
+        if answered or (outcome in MAY_STILL_RUN and ratio > node.ratio):
             weight = SMOOTH if node.lag else 1.0
             node.lag += weight * (lag - node.lag)
             node.ratio += weight * (ratio - node.ratio)
@@ -410,9 +414,13 @@
                 node.depth = max(1.0, node.depth * NARROW ** (1 / max(1.0, node.depth)))
             elif len(node.out) + 1 >= int(node.depth):
                 node.depth = min(DEPTH, node.depth + WIDEN / node.depth)
-        elif outcome is Outcome.FULL:
+        if answered:
+            return
+        if outcome is Outcome.FULL:
+            # Danger: hundreds of hosts that each knock again after a moment keep a full queue full.
             node.depth = max(1.0, node.depth / 2)
-            node.closed_until = max(node.closed_until, now + max(node.lag, BEAT * PERIOD_MS))
+            node.backoff = min(max(2 * node.backoff, node.lag, BEAT * PERIOD_MS), 4 * self.aim)
+            node.closed_until = now + node.backoff * (0.5 + self.random.random())
         elif outcome is Outcome.NO_CONNECTION or (
             outcome is Outcome.TIMEOUT and node.heard < request.sent_at
         ):
