--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -41,13 +41,15 @@
 EPSILON = 2.0  # usual requests: a smaller gap between two volumes is noise
 FADE = 0.5  # what a period without unfairness leaves of a compensation
 LAG_TARGET = 0.2  # of a class's aim: the answer time at a node that D steers to
+CROWDED = 2.0  # times the target: only above it D falls under one
 SMOOTH = 0.3  # weight of the newest answer in a node's smoothed times
 LOST = 10.0  # times the answer expected of its class: an overtaken attempt out for longer is taken as lost
-UNHEARD = 0.8  # what a period with nothing out leaves of a node's smoothed times
+UNHEARD = 0.95  # what a period with nothing out leaves of a node's smoothed times
 WIDEN = 0.25  # added to D by a round of answers within the target while D is in use
 NARROW = 0.7  # what is left of D after a round of answers over the target
 LAG_HEADROOM = 1.0  # of the smoothed answer time: a request that has less left before its aim is late
 RESERVE_COST = 0.1  # of a unit's cost in tags while it lies inside the volume's reserve
+RESTART_MS = 1000.0  # no process that died is back sooner: its part of each limit filled meanwhile
 LOG_LINES = 100  # for a whole life
 
 NEVER_RAN = (Outcome.FULL, Outcome.NO_CONNECTION, Outcome.MOOT)
@@ -79,12 +81,14 @@
 class _Volume:
     """What one volume has used of its reserve and its limit at this host."""
 
-    def __init__(self, now: float) -> None:
-        self.at = now
+    def __init__(self, since: float) -> None:
+        # A host that restarts cannot know what its former life spent of the limit: begin empty, but count
+        # in what filled since this life, or at least the former one's end, began.
+        self.at = since
         self.writers = 1
         self.reserve = 0.0
-        # A host that restarts cannot know what its former life spent of the limit: begin empty.
         self.limit = 0.0
+        self.vouched = False  # the meter was asked whether the limit's store was being drained before
 
 
 class _Flow:
@@ -112,6 +116,7 @@
         self.closed_until = 0.0
         self.backoff = 0.0
         self.heard = 0.0  # when it last answered
+        self.last_sent = 0.0
         self.recent: deque[tuple[float, float]] = deque()  # (time, units) sent within the cold window
 
 
@@ -194,15 +199,18 @@
         now = self.now
         volume = self.volumes.get(event.volume)
         if volume is None:
-            volume = self.volumes[event.volume] = _Volume(now)
+            volume = self.volumes[event.volume] = _Volume(self.born - RESTART_MS)
             volume.reserve = self.set.plans[event.plan].reserve / max(1, event.writers)
         volume.writers = max(volume.writers, event.writers)
         cls = self.set.classes[event.request_class]
         request = _Request(event, volume, now)
         request.cls = cls
-        # The part of its deadline that a client's later try lacks is time its user has waited already.
+        # The part of its deadline that a client's later try lacks is time its user has waited already.  Danger:
+        # impatient clients come with less than the aim itself; these are fresh and worth all until they leave.
         self.longest[event.request_class] = max(self.longest[event.request_class], event.remaining_ms)
         waited = self.longest[event.request_class] - event.remaining_ms
+        if event.remaining_ms <= cls.aim_ms:
+            waited = 0.0
         request.aim_at = now + min(event.remaining_ms, cls.aim_ms - waited)
         self.requests[event.request] = request
         self.taken.append(now)
@@ -276,6 +284,8 @@
         if lane is not None:
             flow = lane.flows.setdefault(request.arrival.volume, _Flow())
             flow.served += event.elsewhere + (request.arrival.units if outcome is Outcome.OK else 0)
+        if outcome is Outcome.OK:
+            self._vouch(request, event.used)
         if event.settled or request.ended or outcome is Outcome.OK:
             request.ended = True
             self._forget(request)
@@ -410,10 +420,12 @@
             weight = SMOOTH if node.lag else 1.0
             node.lag += weight * (lag - node.lag)
             node.ratio += weight * (ratio - node.ratio)
-            if node.ratio > LAG_TARGET:
-                node.depth = max(1.0, node.depth * NARROW ** (1 / max(1.0, node.depth)))
+            # Over the target D falls to one, and under one only where the node is clearly crowded.
+            floor = 1.0 if node.ratio <= CROWDED * LAG_TARGET else 1.0 / DEPTH
+            if node.ratio > LAG_TARGET and node.depth > floor:
+                node.depth = max(floor, node.depth * NARROW ** (1 / max(1.0, node.depth)))
             elif len(node.out) + 1 >= int(node.depth):
-                node.depth = min(DEPTH, node.depth + WIDEN / node.depth)
+                node.depth = min(DEPTH, node.depth + WIDEN * min(node.depth, 1 / node.depth))
         if answered:
             return
         if outcome is Outcome.FULL:
@@ -470,7 +482,8 @@
         if self.now < node.closed_until or len(node.out) >= DEPTH or len(node.strays) >= DEPTH:
             return False
         if not node.out:
-            return True
+            # Danger: one each from hundreds of hosts is a jam.  D under one is a rest between sends.
+            return node.depth >= 1 or self.now >= node.last_sent + node.lag / node.depth
         oldest = next(iter(node.out.values()))
         # With every slot held by what may be lost nothing could overtake it: one more finds out.
         over = not node.backoff and self.now - oldest.sent_at > LOST * self._expected(node, oldest)
@@ -550,7 +563,7 @@
             request.drawn = True
         request.attempts += 1
         request.node = node
-        request.sent_at = now
+        request.sent_at = node.last_sent = now
         node.out[request.arrival.request] = request
         node.recent.append((now, units))
         self.actions.append(Send(request.arrival.request, node.line.name))
@@ -620,6 +633,21 @@
         gain = seconds * plan.limit_rate / volume.writers
         volume.limit = min(self._most_limit(request), volume.limit + gain)
 
+    def _vouch(self, request: _Request, used: int) -> None:
+        """Raise a limit's part that began empty, once, where the meter shows that nobody drained the store.
+
+        The meter's first figure in this life tells of a time before or just after it began.  Below half of
+        the limit, or with nothing metered yet, the store was filling then, so a part that begins full is in
+        it.  Could harm where the meter is later than a former life's last burst: by that burst at most.
+        """
+        volume, plan = request.volume, self.set.plans[request.arrival.plan]
+        if volume.vouched or not self.set.meter_period_ms:
+            return
+        volume.vouched = True
+        if (used - 1) / 100 * plan.rate < plan.limit_rate / 2:
+            filled = (self.now - self.born + RESTART_MS) / 1000 * plan.limit_rate / volume.writers
+            volume.limit += max(0.0, self._most_limit(request) - filled)
+
     def _most_limit(self, request: _Request) -> float:
         plan = self.set.plans[request.arrival.plan]
         return (plan.limit_burst + plan.limit_slack) / request.volume.writers * 0.999
