--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -205,8 +205,8 @@
         cls = self.set.classes[event.request_class]
         request = _Request(event, volume, now)
         request.cls = cls
-        # The part of its deadline that a client's later try lacks is time its user has waited already.  Danger:
-        # impatient clients come with less than the aim itself; these are fresh and worth all until they leave.
+        # The part of its deadline that a client's later try lacks is time its user has waited already.
+        # Danger: impatient clients come with less than the aim; these are fresh, worth all until they leave.
         self.longest[event.request_class] = max(self.longest[event.request_class], event.remaining_ms)
         waited = self.longest[event.request_class] - event.remaining_ms
         if event.remaining_ms <= cls.aim_ms:
@@ -415,8 +415,12 @@
             node.backoff, node.closed_until, node.heard = 0.0, 0.0, now
             node.overtaken = max(node.overtaken, request.sent_at)
         # Danger: clients that leave early take the slow answers with them, so a jam looks like a healthy
-        # node.  An attempt that ended without an answer took at least this long.
-        if answered or (outcome in MAY_STILL_RUN and ratio > node.ratio):
+        # node.  An attempt that ended unanswered after more than the target counts as a missed aim;
+        # how far an aim was missed says nothing, but would keep the node from being tried again for longer.
+        missed = outcome in MAY_STILL_RUN and ratio > LAG_TARGET
+        if missed or ratio > 1:
+            lag, ratio = request.cls.aim_ms, 1.0
+        if answered or missed:
             weight = SMOOTH if node.lag else 1.0
             node.lag += weight * (lag - node.lag)
             node.ratio += weight * (ratio - node.ratio)
