--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -42,6 +42,7 @@
 FADE = 0.5  # what a period without unfairness leaves of a compensation
 LAG_TARGET = 0.2  # of a class's aim: the answer time at a node that D steers to
 CROWDED = 2.0  # times the target: only above it D falls under one
+GUARDED = 1.5  # times the target: above it only what is inside a reserve leaves
 SMOOTH = 0.3  # weight of the newest answer in a node's smoothed times
 LOST = 10.0  # times the answer expected of its class: an overtaken attempt out for longer is taken as lost
 UNHEARD = 0.95  # what a period with nothing out leaves of a node's smoothed times
@@ -164,6 +165,7 @@
         self.ask_at = now_ms if settings.must_ask else FOREVER
         self.ask_wait = 0.0
         self.logged = 0
+        self.reserves = any(plan.reserve for plan in settings.plans)
         self.aim = min(c.aim_ms for c in settings.classes)
 
     def act(self, now_ms: float, events: list[Event]) -> list[Action]:
@@ -515,6 +517,10 @@
             head = self._first(flow.waiting, node, room)
             if head is None:
                 continue
+            # Danger: at a crowded node what earns a part stands before what earns all, and few hosts hold
+            # both to put them in order.  With no reserve on any plan D alone decides.
+            if node.ratio > GUARDED * LAG_TARGET and self.reserves and not self._reserved(head):
+                continue
             tag = self._tags(flow, head)[0] + (0.0 if self._reserved(head) else flow.compensation)
             if best is None or tag < best[0]:
                 best = (tag, head)
