--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -40,9 +40,9 @@
 BEAT = 0.2  # of a period: how often waiting work is looked at again when no event does it
 EPSILON = 2.0  # usual requests: a smaller gap between two volumes is noise
 FADE = 0.5  # what a period without unfairness leaves of a compensation
-LAG_TARGET = 0.1  # of a class's aim: the answer time at a node that D steers to
-CROWDED = 4.0  # times the target: only above it D falls under one
-GUARDED = 3.0  # times the target: above it only what is inside a reserve leaves
+LAG_TARGET = 0.07  # of a class's aim: the answer time at a node that D above one steers to
+CROWDED = 0.4  # of the aim: only where answers take longer D falls under one
+GUARDED = 0.3  # of the aim: where answers take longer only what is inside a reserve leaves
 SMOOTH = 0.3  # weight of the newest answer in a node's smoothed times
 LOST = 10.0  # times the answer expected of its class: an overtaken attempt out for longer is taken as lost
 UNHEARD = 0.95  # what a period with nothing out leaves of a node's smoothed times
@@ -417,9 +417,9 @@
             node.backoff, node.closed_until, node.heard = 0.0, 0.0, now
             node.overtaken = max(node.overtaken, request.sent_at)
         # Danger: clients that leave early take the slow answers with them, so a jam looks like a healthy
-        # node.  An attempt that ended unanswered after more than the target counts as a missed aim;
-        # how far an aim was missed says nothing, but would keep the node from being tried again for longer.
-        missed = outcome in MAY_STILL_RUN and ratio > LAG_TARGET
+        # node.  An attempt that ended unanswered after what would be long for an answer missed its aim.  By
+        # how much an aim was missed says nothing, but would keep the node from being tried again for longer.
+        missed = outcome in MAY_STILL_RUN and ratio > GUARDED
         if missed or ratio > 1:
             lag, ratio = request.cls.aim_ms, 1.0
         if answered or missed:
@@ -427,7 +427,7 @@
             node.lag += weight * (lag - node.lag)
             node.ratio += weight * (ratio - node.ratio)
             # Over the target D falls to one, and under one only where the node is clearly crowded.
-            floor = 1.0 if node.ratio <= CROWDED * LAG_TARGET else 1.0 / DEPTH
+            floor = 1.0 if node.ratio <= CROWDED else 1.0 / DEPTH
             if node.ratio > LAG_TARGET and node.depth > floor:
                 node.depth = max(floor, node.depth * NARROW ** (1 / max(1.0, node.depth)))
             elif len(node.out) + 1 >= int(node.depth):
@@ -519,7 +519,7 @@
                 continue
             # Danger: at a crowded node what earns a part stands before what earns all, and few hosts hold
             # both to put them in order.  With no reserve on any plan D alone decides.
-            if node.ratio > GUARDED * LAG_TARGET and self.reserves and not self._reserved(head):
+            if node.ratio > GUARDED and self.reserves and not self._reserved(head):
                 continue
             tag = self._tags(flow, head)[0] + (0.0 if self._reserved(head) else flow.compensation)
             if best is None or tag < best[0]:
