--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -241,15 +241,19 @@
         lane.waiting += 1
 
     def _best_shard(self) -> int:
+        """Choose the least expected delay among the nodes that are warm and not on trial, else any.
+
+        Danger: a node nobody knows yet would look best to hundreds of hosts at once, which bury it; it
+        counts as one like the others.
+        """
+        ready = [(shard, lane, lane.node) for shard, lane in self.lanes.items() if lane.node is not None]
+        good = [r for r in ready if self.now >= r[2].closed_until and self._cold_room(r[2]) == FOREVER]
+        known = [node.lag for _, _, node in ready if node.lag]
+        usual = sum(known) / len(known) if known else 0.0
         best, lowest = -1, FOREVER
-        for shard, lane in self.lanes.items():
-            node = lane.node
-            if node is None:
-                continue
-            delay = self._delay(node) * (1 + (lane.waiting + len(node.out)) / node.depth)
+        for shard, lane, node in good or ready:
+            delay = (self._delay(node) or usual) * (1 + (lane.waiting + len(node.out)) / node.depth)
             delay += self.random.random()  # ms: spreads equal nodes
-            if self.now < node.closed_until or self._cold_room(node) < FOREVER:
-                delay += 1e9
             if delay < lowest:
                 best, lowest = shard, delay
         return best
@@ -419,7 +423,8 @@
         # Danger: clients that leave early take the slow answers with them, so a jam looks like a healthy
         # node.  An attempt that ended unanswered after what would be long for an answer missed its aim.  By
         # how much an aim was missed says nothing, but would keep the node from being tried again for longer.
-        missed = outcome in MAY_STILL_RUN and ratio > GUARDED
+        # What later attempts overtook was lost on the way, which is no sign of a jam.
+        missed = outcome in MAY_STILL_RUN and ratio > GUARDED and request.sent_at >= node.overtaken
         if missed or ratio > 1:
             lag, ratio = request.cls.aim_ms, 1.0
         if answered or missed:
