--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -50,6 +50,7 @@
 NARROW = 0.7  # what is left of D after a round of answers over the target
 LAG_HEADROOM = 1.0  # of the smoothed answer time: a request that has less left before its aim is late
 RESERVE_COST = 0.1  # of a unit's cost in tags while it lies inside the volume's reserve
+COLD_DRAWN = 0.5  # of what a cold node bears: what lots drawn by many hosts give it in the mean
 RESTART_MS = 1000.0  # no process that died is back sooner: its part of each limit filled meanwhile
 LOG_LINES = 100  # for a whole life
 
@@ -63,11 +64,12 @@
 
     __slots__ = (
         "arrival", "cls", "volume", "lane", "clock", "aim_at", "end_at", "attempts", "node", "sent_at",
-        "ran", "ended", "drawn",
+        "ran", "ended", "drawn", "chance",
     )  # fmt: skip
 
-    def __init__(self, arrival: Arrival, volume: _Volume, now: float) -> None:
+    def __init__(self, arrival: Arrival, volume: _Volume, now: float, chance: float) -> None:
         self.arrival = arrival
+        self.chance = chance  # its lot, from 0 to 1, where only some of many may leave
         self.volume = volume
         self.lane: _Lane | None = None
         self.clock = 0.0  # the lane's virtual time when it joined
@@ -118,6 +120,7 @@
         self.backoff = 0.0
         self.heard = 0.0  # when it last answered
         self.last_sent = 0.0
+        self.drawn = 1.0  # part of the requests that may leave for it
         self.recent: deque[tuple[float, float]] = deque()  # (time, units) sent within the cold window
 
 
@@ -158,6 +161,7 @@
         self.expiry: list[tuple[float, int, _Request]] = []
         self.count = 0
         self.longest = [0.0 for _ in settings.classes]
+        self.units_taken = 0.0
         self.taken: deque[float] = deque()
         self.extra: deque[float] = deque()
         self.armed = FOREVER
@@ -205,7 +209,8 @@
             volume.reserve = self.set.plans[event.plan].reserve / max(1, event.writers)
         volume.writers = max(volume.writers, event.writers)
         cls = self.set.classes[event.request_class]
-        request = _Request(event, volume, now)
+        request = _Request(event, volume, now, self.random.random())
+        self.units_taken += event.units
         request.cls = cls
         # The part of its deadline that a client's later try lacks is time its user has waited already.
         # Danger: impatient clients come with less than the aim; these are fresh, worth all until they leave.
@@ -532,7 +537,7 @@
         if best is not None:
             return best[1]
         # Late work earns little and stands before what comes next: it leaves only to an idle node.
-        if node.out or node.strays or node.ratio > LAG_TARGET:
+        if node.out or node.strays or node.ratio > LAG_TARGET or node.drawn < 1:
             return None
         soonest = self.now + node.lag
         return self._first([r for r in lane.late if r.end_at > soonest], node, room)
@@ -613,7 +618,7 @@
 
     def _may_leave(self, request: _Request, node: _Node, room: float) -> bool:
         units = request.arrival.units
-        if units > room:
+        if units > room or request.chance > node.drawn:
             return False
         plan = self.set.plans[request.arrival.plan]
         if plan.limit_rate and not request.drawn:
@@ -684,13 +689,23 @@
         while node.recent and node.recent[0][0] <= self.now - window - self.set.tick_ms:
             node.recent.popleft()
         age = self.now - line.up_since_ms
+        node.drawn = 1.0
         if not line.up_since_ms or age >= self.set.warm_up_ms + window:
             return FOREVER
         if self.now < self.born + window:
             return 0.0  # a former life of this host may have spent its part just now
         grown = max(0.0, age - window) / max(1.0, self.set.warm_up_ms)
         bears = self.set.cold_bears * (1 + (1 / self.set.cold_from - 1) * min(1.0, grown))
-        return bears / self.set.hosts - sum(units for _, units in node.recent)
+        even = bears / self.set.hosts
+        if even >= self.set.usual_units:
+            return even - sum(units for _, units in node.recent)
+        # Danger: an even part that pays for no request starves a cold node until it is warm.  Many hosts draw
+        # lots instead, against what all of them ask of one shard if they are like this one, and send one at a
+        # time.  Could harm where one shard is asked for several times the mean; hence only COLD_DRAWN.
+        seconds = (self.now - self.born) / 1000
+        asked = self.units_taken / seconds * self.set.hosts / len(self.lanes) * window / 1000
+        node.drawn = COLD_DRAWN * bears / max(asked, bears)
+        return 0.0 if node.recent else self.set.most_units
 
     # --- the timer
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -1,5 +1,7 @@
 """The module's ordinary path and guards, worked out by hand on awkward sequences."""
 
+import random
+
 import pytest
 
 from cressrock.brain import DEPTH, NEVER_RAN, PERIOD_MS, RESTART_MS, Brain
@@ -477,3 +479,35 @@
             tries.append(now)
             brain.act(now + 1.0, [done(name, Outcome.FULL, attempt, lag=1.0)])
     assert 5 <= len(tries) <= 15
+
+
+def test_a_cold_node_is_neither_starved_nor_tipped_by_many_hosts():
+    """Danger: two hundred even parts that pay for no request; and a wave of replacements with late lists."""
+    hosts, shards, rate = 120, 4, 0.9  # requests a second of each host
+    classes, bears = (SAFE,), 12.0
+    rng = random.Random(5)
+    brains = []
+    for seed in range(hosts):
+        brain = Brain(settings(hosts=hosts, classes=classes, cold_bears=bears), seed, 0.0)
+        brain.act(0.0, [NodeList(ListKind.CACHED, tuple(Node(f"n{i}", i) for i in range(shards)))])
+        brains.append(brain)
+    sends, told, count = [], [rng.uniform(10000, 12000) for _ in brains], 0
+    fresh = Node("fresh", 0, up_since_ms=10000.0)
+    out = [[] for _ in brains]
+    for now in range(100, 20000, 50):
+        for host_number, brain in enumerate(brains):
+            events = [done(name, lag=50.0) for name in out[host_number]]
+            if told[host_number] <= now:
+                told[host_number] = float("inf")
+                events.append(NodeList(ListKind.CHANGES, (Node("n0", 0, state=NodeState.GONE), fresh)))
+            if rng.random() < rate * 0.05:
+                count += 1
+                events.append(ask(f"r{count}", f"v{host_number}", shard=rng.randrange(shards)))
+            actions = [a for a in brain.act(float(now), events) if isinstance(a, Send)]
+            out[host_number] = [a.request for a in actions]
+            sends += [now for a in actions if a.node == "fresh"]
+    early = [t for t in sends if t < 15000]
+    assert len(early) > 10  # not starved
+    for start in sends:
+        grown = 1 + 4 * max(0.0, start - 10000) / 10000
+        assert 2.0 * sum(start <= t < start + 1000 for t in sends) <= bears * (grown + 0.4)
