--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -50,7 +50,7 @@
 NARROW = 0.7  # what is left of D after a round of answers over the target
 LAG_HEADROOM = 1.0  # of the smoothed answer time: a request that has less left before its aim is late
 RESERVE_COST = 0.1  # of a unit's cost in tags while it lies inside the volume's reserve
-COLD_DRAWN = 0.5  # of what a cold node bears: what lots drawn by many hosts give it in the mean
+COLD_DRAWN = 1.0  # of what a cold node bears: what lots drawn by many hosts give it in the mean
 RESTART_MS = 1000.0  # no process that died is back sooner: its part of each limit filled meanwhile
 LOG_LINES = 100  # for a whole life
 
