--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -41,7 +41,7 @@
 EPSILON = 2.0  # usual requests: a smaller gap between two volumes is noise
 FADE = 0.5  # what a period without unfairness leaves of a compensation
 LAG_TARGET = 0.07  # of a class's aim: the answer time at a node that D above one steers to
-CROWDED = 0.4  # of the aim: only where answers take longer D falls under one
+CROWDED = 0.5  # of the aim: only where answers take longer D falls under one
 GUARDED = 0.3  # of the aim: where answers take longer only what is inside a reserve leaves
 SMOOTH = 0.3  # weight of the newest answer in a node's smoothed times
 LOST = 10.0  # times the answer expected of its class: an overtaken attempt out for longer is taken as lost
@@ -49,7 +49,7 @@
 WIDEN = 0.25  # added to D by a round of answers within the target while D is in use
 NARROW = 0.7  # what is left of D after a round of answers over the target
 RESERVE_COST = 0.1  # of a unit's cost in tags while it lies inside the volume's reserve
-COLD_DRAWN = 0.7  # of what a cold node bears: what lots drawn by many hosts give it in the mean
+COLD_DRAWN = 1.0  # of what a cold node bears: what lots drawn by many hosts give it in the mean
 RESTART_MS = 1000.0  # no process that died is back sooner: its part of each limit filled meanwhile
 LOG_LINES = 100  # for a whole life
 
@@ -666,7 +666,7 @@
         if volume.vouched or not self.set.meter_period_ms:
             return
         volume.vouched = True
-        if (used - 1) / 100 * plan.rate < plan.limit_rate / 2:
+        if used >= 0 and (used - 1) / 100 * plan.rate < plan.limit_rate / 2:
             filled = (self.now - self.born + RESTART_MS) / 1000 * plan.limit_rate / volume.writers
             volume.limit += max(0.0, self._most_limit(request) - filled)
 
@@ -703,9 +703,9 @@
             return even - sum(units for _, units in node.recent)
         # Danger: an even part that pays for no request starves a cold node until it is warm.  Many hosts
         # draw lots, against what all ask of a shard if they are alike.  Harms where one is asked far more.
-        seconds = (self.now - self.born) / 1000
-        asked = self.units_taken / seconds * self.set.hosts / len(self.lanes) * window / 1000
-        node.drawn = COLD_DRAWN * bears / max(asked, bears)
+        life = max(window, self.now - self.born)
+        asked = self.units_taken * window / max(life, 1.0) * self.set.hosts / len(self.lanes)
+        node.drawn = COLD_DRAWN * bears / max(asked, bears, 1.0)
         return 0.0 if node.recent else self.set.most_units
 
     # --- the timer
