--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -209,19 +209,20 @@
             volume = self.volumes[event.volume] = _Volume(self.born - RESTART_MS)
             volume.reserve = self.set.plans[event.plan].reserve / max(1, event.writers)
         volume.writers = max(volume.writers, event.writers)
-        cls = self.set.classes[event.request_class]
+        index, left = event.request_class, event.remaining_ms
+        cls = self.set.classes[index]
         request = _Request(event, volume, now, self.random.random())
         self.units_taken += event.units
         request.cls = cls
         # The part of its deadline that a client's later try lacks is time its user has waited already.
         # Danger: impatient clients come with less than the aim; these are fresh, worth all until they leave.
-        self.longest[event.request_class] = max(self.longest[event.request_class], event.remaining_ms)
-        waited = self.longest[event.request_class] - event.remaining_ms
-        if event.remaining_ms <= cls.aim_ms:
-            waited = 0.0
-        request.aim_at = now + min(event.remaining_ms, cls.aim_ms - waited)
+        longest = self.longest[index] = max(self.longest[index], left)
+        waited = longest - left if left > cls.aim_ms else 0.0
+        request.aim_at = now + min(left, cls.aim_ms - waited)
         self.requests[event.request] = request
-        self.taken.append(now)
+        if self.set.budget_window_ms:
+            self.taken.append(now)
+            self._in_budget()  # forgets what the window has passed
         if cls.in_turn and event.key:
             self.turns.setdefault(event.key, _Turn()).queue.append(request)
         self._watch(request)
@@ -573,7 +574,7 @@
         lane.start = max(lane.start, start)
         lane.finish = max(lane.finish, finish)
         self._leave(request)
-        if request.attempts:
+        if request.attempts and self.set.budget_window_ms:
             self.extra.append(now)
         if not request.drawn:
             request.volume.limit -= units
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -184,3 +184,18 @@
         return lines
 
     assert calls(200) < calls(5) * 1.2
+
+
+def test_what_a_long_life_keeps_is_bounded():
+    """Danger: a host that lives for months keeps a time for each request it took."""
+    for window in (0.0, 1000.0):
+        conf = settings(hosts=2, plans=(Plan(),), budget_window_ms=window, budget_share=0.1)
+        brain = Brain(conf, 1, 0.0)
+        brain.act(0.0, [NodeList(ListKind.CACHED, (Node("a", 0),))])
+        out = []
+        for step in range(3000):
+            events = [Ended(name, 0, Outcome.OK, True, 5.0) for name in out]
+            actions = brain.act(10.0 * step, [*events, Arrival(f"r{step}", "v", "", 1.0, 1500.0, shard=0)])
+            out = [a.request for a in actions if isinstance(a, Send)]
+        held = len(brain.taken) + len(brain.extra) + len(brain.requests) + len(brain.nodes["a"].recent)
+        assert held < 400 and len(brain.expiry) < 400
