D is steered by the wait beyond a learnt uncrowded answer, not by a part of the aim

Cause: LAG_TARGET was a part of the aim for the whole answer time.

Change: each node's uncrowded answer is learnt from its answers: its growth with units as a regression slope (a queue delays large and small alike), its level as the lowest smoothed one, raised slowly and only while D is at its floor. D falls only on an answer that itself waited; late work beside a wait leaves once in hosts times the answer time; a wait which the node's own spread explains is no crowd.

--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -40,9 +40,12 @@
 BEAT = 0.2  # of a period: how often waiting work is looked at again when no event does it
 EPSILON = 2.0  # usual requests: a smaller gap between two volumes is noise
 FADE = 0.5  # what a period without unfairness leaves of a compensation
-LAG_TARGET = 0.07  # of a class's aim: the answer time at a node that D above one steers to
-CROWDED = 0.5  # of the aim: only where answers take longer D falls under one
-GUARDED = 0.3  # of the aim: where answers take longer only what is inside a reserve leaves
+LAG_TARGET = 0.04  # of a class's aim: the wait, beyond an uncrowded answer, that D above one steers to
+ROOM = 0.4  # of an uncrowded answer: a wait that its own spread explains, whatever the aim
+CROWDED = 0.4  # of the aim: only where the wait is longer D falls under one
+GUARDED = 0.2  # of the aim: where the wait is longer only what is inside a reserve leaves
+MEMORY = 0.02  # weight of the newest answer in what a unit costs at a node, once there were many
+RELEARN_MS = 30000.0  # in which an uncrowded answer time nears what a node shows at a D of one
 SMOOTH = 0.3  # weight of the newest answer in a node's smoothed times
 LOST = 10.0  # times the answer expected of its class: an overtaken attempt out for longer is taken as lost
 UNHEARD = 0.965  # what a period with nothing out leaves of a node's smoothed times
@@ -110,7 +113,14 @@
         self.line: Node | None = None
         self.depth = depth
         self.lag = 0.0  # smoothed answer time
-        self.ratio = 0.0  # the same over the class's aim
+        self.ratio = 0.0  # of the class's aim: smoothed answer time beyond the uncrowded one
+        self.target = LAG_TARGET  # of the aim: the wait that D steers to
+        self.seen = 0.0  # answers that taught, at most 1 / MEMORY of them
+        self.units = self.mean = self.var = self.cov = 0.0  # of their units and answer times
+        self.slope = 0.0  # answer time of a further unit
+        self.rest = 0.0  # smoothed answer time of the mean units
+        self.base = 0.0  # the same where nothing waits
+        self.learnt_at = 0.0
         self.out: dict[str, _Request] = {}
         self.strays: dict[str, _Request] = {}  # out, but taken as lost: hold no slot
         self.overtaken = 0.0  # sending time of the latest attempt that was answered
@@ -391,6 +401,7 @@
             if node.line is not None and node.line.up_since_ms != line.up_since_ms:
                 # A restarted process has forgotten its jam: its trial ends, D starts low.
                 node.closed_until, node.backoff, node.depth = 0.0, 0.0, 1.0
+                node.seen = 0.0
             node.line = line
         self._assign()
 
@@ -422,7 +433,8 @@
     def _health(self, node: _Node, request: _Request, outcome: Outcome, lag: float) -> None:
         """Steer D by the answers, and by what fails how soon a closed node is tried again."""
         now = self.now
-        ratio = lag / request.cls.aim_ms
+        easy = self._uncrowded(node, request.arrival.units)
+        ratio = max(0.0, lag - easy) / request.cls.aim_ms if node.seen else 0.0
         answered = outcome in (Outcome.OK, Outcome.ERROR)
         if answered:
             node.backoff, node.closed_until, node.heard = 0.0, 0.0, now
@@ -431,18 +443,22 @@
         # node.  An attempt that ended unanswered after what would be long for an answer missed its aim.  By
         # how much an aim was missed says nothing, but would keep the node from being tried again for longer.
         # What later attempts overtook was lost on the way, which is no sign of a jam.
-        missed = outcome in MAY_STILL_RUN and ratio > GUARDED and request.sent_at >= node.overtaken
+        missed = outcome in MAY_STILL_RUN and request.sent_at >= node.overtaken
+        missed = missed and (ratio > node.target if node.seen else lag > GUARDED * request.cls.aim_ms)
+        if outcome is Outcome.OK:
+            self._learn(node, request.arrival.units, lag)
         if missed or ratio > 1:
             lag, ratio = request.cls.aim_ms, 1.0
         if answered or missed:
             weight = SMOOTH if node.lag else 1.0
             node.lag += weight * (lag - node.lag)
             node.ratio += weight * (ratio - node.ratio)
+            node.target += weight * (max(LAG_TARGET, ROOM * easy / request.cls.aim_ms) - node.target)
             # Over the target D falls to one, and under one only where the node is clearly crowded.
             floor = 1.0 if node.ratio <= CROWDED else 1.0 / DEPTH
-            if node.ratio > LAG_TARGET and node.depth > floor:
+            if min(ratio, node.ratio) > node.target and node.depth > floor:
                 node.depth = max(floor, node.depth * NARROW ** (1 / max(1.0, node.depth)))
-            elif len(node.out) + 1 >= int(node.depth):
+            elif (node.depth < floor or node.ratio <= node.target) and len(node.out) + 1 >= int(node.depth):
                 node.depth = min(DEPTH, node.depth + WIDEN * min(node.depth, 1 / node.depth))
         if answered:
             return
@@ -462,10 +478,46 @@
             node.backoff = min(max(2 * node.backoff, PERIOD_MS), 4 * self.aim)
             node.closed_until = now + node.backoff
 
+    def _learn(self, node: _Node, units: float, lag: float) -> None:
+        """Learn what an uncrowded answer takes: its growth with units, and its level at the mean units.
+
+        A queue delays large and small alike, so the slope of answer times over units is free of it.  The
+        level is the lowest smoothed one; it rises, slowly, only while D is at its floor: a D above one
+        that could raise it would make the queue that it then takes for granted.  A host that has a node
+        alone and had nothing else out there knows at once.
+        """
+        node.seen = min(node.seen + 1, 1 / MEMORY)
+        weight = 1 / node.seen
+        more, over = units - node.units, lag - node.mean
+        node.units += weight * more
+        node.mean += weight * over
+        node.var = (1 - weight) * (node.var + weight * more * more)
+        node.cov = (1 - weight) * (node.cov + weight * more * over)
+        level = lag - node.slope * (units - node.units)
+        node.rest += max(SMOOTH, weight) * (level - node.rest)
+        since, node.learnt_at = self.now - node.learnt_at if node.seen > 1 else 0.0, self.now
+        # Danger: first answers may come out of a jam.  Believed as they are, they would keep all work away.
+        lowest = min(level, node.rest) if weight > SMOOTH / 2 else node.rest
+        if node.seen == 1:
+            node.base = min(level, self.aim / 2)
+        elif lowest < node.base:
+            node.base = lowest
+        elif node.depth <= 1:
+            alone = self.set.hosts == 1 and not node.out and not node.strays
+            node.base += (SMOOTH if alone else min(1.0, since / RELEARN_MS)) * (node.rest - node.base)
+        # Few answers are read as a cost that is all by units; nothing costs less than nothing.
+        share, doubt = node.base / node.units, weight * node.units**2
+        node.slope = min(share, max(0.0, (node.cov + doubt * share) / (node.var + doubt)))
+
     @staticmethod
-    def _expected(node: _Node, request: _Request) -> float:
-        """Answer time to expect of a request's class at a node."""
-        return max(node.lag, (node.ratio or LAG_TARGET) * request.cls.aim_ms)
+    def _uncrowded(node: _Node, units: float) -> float:
+        """Answer time of so many units where nothing waits."""
+        return node.base + node.slope * (units - node.units)
+
+    def _expected(self, node: _Node, request: _Request) -> float:
+        """Answer time to expect of a request at a node."""
+        wait = (node.ratio or LAG_TARGET) * request.cls.aim_ms
+        return max(node.lag if not node.seen else 0.0, self._uncrowded(node, request.arrival.units) + wait)
 
     def _strays(self, node: _Node) -> None:
         """Free the slots of attempts whose answer seems lost, and try again what can make its aim yet.
@@ -515,11 +567,10 @@
     def _pick(self, lane: _Lane, node: _Node, room: float) -> _Request | None:
         """Choose the lowest tag plus compensation among the volumes' heads; late work only after these."""
         best: tuple[float, _Request] | None = None
-        needed = self.now + node.lag  # what has less left before its aim is late
         for flow in lane.flows.values():
             if not flow.waiting:
                 continue
-            for request in [r for r in flow.waiting if r.aim_at < needed]:
+            for request in [r for r in flow.waiting if self._late(node, r)]:
                 flow.waiting.remove(request)
                 lane.late.append(request)
             head = self._first(flow.waiting, node, room)
@@ -535,10 +586,16 @@
         if best is not None:
             return best[1]
         # Late work earns little and stands before what comes next: it leaves only to an idle node.
-        if node.out or node.strays or node.ratio > LAG_TARGET or node.drawn < 1:
+        if node.out or node.strays or node.drawn < 1 or node.ratio > GUARDED:
+            return None
+        if node.ratio > node.target and self.now < node.last_sent + self.set.hosts * node.lag:
             return None
-        soonest = self.now + node.lag
-        return self._first([r for r in lane.late if r.end_at > soonest], node, room)
+        return self._first([r for r in lane.late if r.end_at > self.now + node.lag], node, room)
+
+    def _late(self, node: _Node, request: _Request) -> bool:
+        """Whether a request sent now would miss its aim."""
+        wait = node.ratio * request.cls.aim_ms
+        return request.aim_at < self.now + self._uncrowded(node, request.arrival.units) + wait
 
     def _first(self, waiting: list[_Request], node: _Node, room: float) -> _Request | None:
         """Pick a volume's head: most worth first, then nearest aim, among those that may leave now."""
@@ -593,7 +650,7 @@
         for key in [k for k, t in self.turns.items() if not t.queue and t.rest_until <= self.now]:
             del self.turns[key]
         for name, node in list(self.live_nodes.items()):
-            if not (node.out or node.strays) and node.ratio <= LAG_TARGET:
+            if not (node.out or node.strays) and node.ratio <= node.target and node.lag < self.aim:
                 del self.live_nodes[name]
             elif not (node.out or node.strays):
                 # A bad figure keeps work away and so is never put right by an answer: let it fade.
@@ -628,7 +685,7 @@
         if plan.limit_rate and not request.drawn:
             self._refill(request)
             # Late work takes only what the limit has to spare: the next on time would lack it.
-            spare = self._most_limit(request) / 2 if request.aim_at < self.now + node.lag else 0.0
+            spare = self._most_limit(request) / 2 if self._late(node, request) else 0.0
             if request.volume.limit < units + spare:
                 return False
         if request.ran is not None and request.cls.effect is Effect.KEYED:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -451,8 +451,11 @@
 
 def test_d_under_one_is_a_rest_between_sends():
     """Danger: one request out from each of many hosts is a jam by itself."""
-    brain = host()
+    brain = host(hosts=40)
     node = brain.nodes["a"]
+    for step in range(5):
+        brain.act(0.0, [ask(f"q{step}")])
+        brain.act(0.0, [done(f"q{step}", lag=20.0)])
     node.lag, node.ratio, node.depth = 100.0, 0.6, 0.2
     brain.live_nodes["a"] = node
     times, out = [], []
