--- a/cressrock/lab/client.py
+++ b/cressrock/lab/client.py
@@ -56,13 +56,17 @@
         patience_ms: float,
         leave_after_ms: float | None = None,
         overtime_ms: float = 3000.0,
+        units: float = 1.0,
     ) -> Seen:
-        """Make a request.  It waits longer than its patience, so that a late answer is seen as one."""
+        """Make a request.  It waits longer than its patience, so that a late answer is seen as one.
+
+        `units` are what the request counts, for the trace alone.
+        """
         try:
             channel = await self._channel()
         except (*BROKEN, TimeoutError):
             return Seen(0, "not connected", [])
-        self._row(name, "sent", method, target, patience_ms=patience_ms)
+        self._row(name, "sent", method, target, patience_ms=patience_ms, units=units)
         seen = Seen(0, "silence", [])
         limit = patience_ms + overtime_ms if leave_after_ms is None else leave_after_ms
         with anyio.move_on_after(limit / 1000):
@@ -79,7 +83,14 @@
         return seen
 
     def _row(
-        self, name: str, what: str, method: str, target: str, status: int = 0, patience_ms: float = 0.0
+        self,
+        name: str,
+        what: str,
+        method: str,
+        target: str,
+        status: int = 0,
+        patience_ms: float = 0.0,
+        units: float = 0.0,
     ) -> None:
         self.record(
             Row(
@@ -90,6 +101,7 @@
                 request=name,
                 method=method,
                 path=target,
+                units=units,
                 status=status,
                 patience_ms=patience_ms,
             )
--- a/cressrock/lab/day.py
+++ b/cressrock/lab/day.py
@@ -10,7 +10,7 @@
 import random
 import tempfile
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from pathlib import Path
 from typing import Any
 
@@ -25,13 +25,15 @@
 from cressrock.lab.client import Client, Seen, retry_after
 from cressrock.lab.hall import Close, Hall, Serve
 from cressrock.lab.listing import Listing
-from cressrock.lab.model import Machine, Meter
+from cressrock.lab.model import Meter
 from cressrock.lab.node import Node, Rates
 from cressrock.lab.rack import Task
 from cressrock.lab.simnet import SimNet
+from cressrock.lab.site import Site, usual
 from cressrock.lab.trace import Row, Trace
 from cressrock.plan import PlannerProgram
 from cressrock.settings.load import convert
+from cressrock.settings.types import Class
 from cressrock.settings.types import Gateway as Settings
 from cressrock.webdav.paths import Path as DavPath
 from cressrock.webdav.placement import home
@@ -48,49 +50,19 @@
     dispatchers: int = 3
     nodes: int = 4
     rate: float = 40.0  # requests a second, all dispatchers together, before surges
+    load: float = 0.0  # instead of a rate: the part of the busiest shard's capacity that is asked for
     length_ms: float = 60000.0
     way_ms: float = 2.0  # the judge's bound of the network's delay; on real sockets about 30
     real: bool = False
     troubles: tuple[str, ...] = ()  # only these; empty: all of the bad day
     planners: int = 0  # 0: each dispatcher decides by itself; else they are edges of so many planners
-    ordered: float = 0.04  # part of the requests that are of the class that keeps order
+    ordered: float | None = None  # part of PROPPATCH, the class that keeps order, beside the site's traffic
+    site: Site = field(default_factory=usual)
 
-
-# --- what the day's site is like
-
-MACHINES = (
-    Machine(cores=2, speed=1.0, unit_ms=18.0, base_ms=2.0, queue=24),
-    Machine(cores=2, speed=0.8, unit_ms=18.0, base_ms=2.0, queue=24),
-)
-PLANS: dict[str, dict[str, float]] = {
-    "base": {"weight": 1, "rate": 4, "reserve": 2, "limit_rate": 24, "limit_burst": 48, "limit_slack": 8},
-    "pro": {"weight": 2, "rate": 6, "reserve": 7},
-    "prioritario": {"weight": 3, "rate": 9, "reserve": 11},
-}
-CLASSES: list[dict[str, Any]] = [
-    {
-        "name": "lettura", "methods": ["GET", "HEAD", "PROPFIND"], "aim_ms": 300, "deadline_ms": 1500,
-        "worth": 3, "late_worth": 0.1, "effect": "repeatable",
-    },
-    {
-        "name": "scrittura",
-        "methods": ["PUT", "DELETE", "MKCOL", "COPY", "MOVE", "LOCK", "UNLOCK"],
-        "aim_ms": 500, "deadline_ms": 4000, "worth": 2, "late_worth": 0.2, "effect": "keyed",
-        "group": "shard", "repeat_window_ms": 4000,
-    },
-    {
-        "name": "stato", "methods": ["PROPPATCH"], "aim_ms": 500, "deadline_ms": 4000, "worth": 2,
-        "late_worth": 0.2, "effect": "keyed", "group": "shard", "repeat_window_ms": 4000, "in_turn": True,
-    },
-]  # fmt: skip
-SCHEDULER: dict[str, Any] = {
-    "tick_ms": 2, "max_attempts": 3, "may_cancel": True, "answer_slack_ms": 8, "drain_grace_ms": 250,
-    "ask_every_ms": 10000, "cold_from": 0.2, "warm_up_ms": 8000, "cold_window_ms": 1000,
-    "budget_window_ms": 5000, "budget_free": 3, "budget_share": 0.1, "usual_units": 1.5,
-    "meter_period_ms": 1000, "order_settle_ms": 300,
-}  # fmt: skip
-RACK_WINDOW_MS = 4200.0  # a rack remembers a little longer than it promises
-UNIT_BYTES = 1024
+    def __post_init__(self) -> None:
+        """A site's own delays are part of what the judge has to allow for."""
+        if not self.real and self.way_ms < 2 * self.site.network.most_ms:
+            object.__setattr__(self, "way_ms", 2 * self.site.network.most_ms)
 
 
 @dataclass(slots=True)
@@ -124,6 +96,7 @@
     program: PlannerProgram | None = None
     lives: int = 0
     born: list[float] = field(default_factory=list)
+    killed: list[float] = field(default_factory=list)
 
 
 @dataclass(slots=True)
@@ -142,6 +115,7 @@
     def __init__(self, script: Script, *, parts: Parts | None = None, log: Any = None) -> None:
         """`parts` are what each dispatcher is made of; a test may break one on purpose."""
         self.script = script
+        self.site = script.site
         self.parts = parts or Parts()
         self.log = log
         self.random = random.Random(script.seed)
@@ -162,18 +136,35 @@
         self.begin = 0.0
 
     def _draw_volumes(self) -> list[_Volume]:
-        draw = self.random
-        volumes = []
-        for index in range(max(4, self.script.nodes * 3)):
-            plan = draw.choice(sorted(PLANS))
-            shards = sorted(draw.sample(range(self.script.nodes), min(self.script.nodes, draw.randint(1, 3))))
-            writers = sorted(
-                draw.sample(range(self.script.dispatchers), min(self.script.dispatchers, draw.randint(1, 3)))
-            )
-            weight = {"base": 1.0, "pro": 1.5, "prioritario": 2.5}[plan] * draw.uniform(0.6, 1.6)
+        draw, site = self.random, self.site
+        plans, often = sorted(site.plans), [site.plans[p].volumes for p in sorted(site.plans)]
+        volumes, use = [], site.volumes
+        for index in range(max(4, round(self.script.nodes * use.per_node))):
+            plan = draw.choices(plans, often)[0]
+            shards = self._sample(draw, self.script.nodes, use.shards_least, use.shards_most)
+            writers = self._sample(draw, self.script.dispatchers, use.writers_least, use.writers_most)
+            weight = site.plans[plan].traffic * draw.uniform(1 / use.spread, use.spread)
             volumes.append(_Volume(f"v{index}", plan, shards, writers, weight))
         return volumes
 
+    @staticmethod
+    def _sample(draw: random.Random, of: int, least: int, most: int) -> list[int]:
+        return sorted(draw.sample(range(of), min(of, draw.randint(least, most))))
+
+    def _rate(self) -> float:
+        """Return requests a second: as asked for, or such that the busiest shard gets its part of load."""
+        if not self.script.load:
+            return self.script.rate
+        total = sum(v.weight for v in self.volumes)
+        busiest = max(
+            sum(v.weight / len(v.shards) for v in self.volumes if shard in v.shards)
+            / total
+            * self.site.mean_work_ms(shard)
+            / self.site.machine(shard).capacity_ms()
+            for shard in range(self.script.nodes)
+        )
+        return self.script.load / busiest
+
     def _hosts(self) -> int:
         """Count what the decision module calls hosts."""
         return self.script.planners or self.script.dispatchers
@@ -187,16 +178,15 @@
 
     def settings(self, name: str, planners: list[str]) -> Settings:
         """Return the settings of a dispatcher, an edge or a planner."""
-        weakest = min(m.cores * 1000 * m.speed for m in MACHINES)
-        m = MACHINES[0]
-        bears = m.fall_multiple * weakest * m.cold_from * m.tip_after_ms / 1000 / (m.unit_ms + m.base_ms)
+        site = self.site
+        scheduler = msgspec.to_builtins(site.scheduler)
         return convert(
             "day",
             {
                 "name": name,
                 "pair": {"planners": planners, "epoch_file": str(Path(self.folder) / f"{name}.epoch")},
-                "classes": CLASSES,
-                "plans": PLANS,
+                "classes": msgspec.to_builtins(site.classes),
+                "plans": {n: msgspec.to_builtins(p.figures) for n, p in site.plans.items()},
                 "volumes": {
                     v.name: {"shards": v.shards, "plan": v.plan, "writers": self._writers(v)}
                     for v in self.volumes
@@ -207,8 +197,8 @@
                     "timeout_ms": 1500,
                     "cache": str(Path(self.folder) / f"{name}.json"),
                 },
-                "scheduler": SCHEDULER | {"hosts": self._hosts(), "cold_bears": bears * 0.8},
-                "units": {"unit_bytes": UNIT_BYTES, "most": 8},
+                "scheduler": scheduler | site.cold() | {"hosts": self._hosts()},
+                "units": msgspec.to_builtins(site.units),
                 # In real time nodes, clients and dispatchers share one loop and its pauses.
                 "front": {"answer_margin_ms": 80 if self.script.real else 15, "retry_after_ms": 1000},
                 "nodes": {"connect_timeout_ms": 250},
@@ -216,45 +206,49 @@
         )
 
     def _facts(self) -> dict[str, Any]:
-        m = MACHINES[0]
-        effects = {}
-        for cls in CLASSES:
-            for method in cls["methods"]:
-                effects[method] = {
-                    "effect": cls["effect"],
-                    "group": cls.get("group", "all"),
-                    "window_ms": cls.get("repeat_window_ms", 0),
-                }
+        site, scheduler = self.site, self.site.scheduler
+        effects = {
+            method: {
+                "effect": cls.effect, "group": cls.group, "window_ms": cls.repeat_window_ms,
+                "class": cls.name,
+            }
+            for cls in site.classes
+            for method in cls.methods
+        }  # fmt: skip
         return {
-            "script": msgspec.to_builtins(self.script),
+            "script": {f.name: getattr(self.script, f.name) for f in fields(self.script) if f.name != "site"}
+            | {"site": site.name},
             "way_ms": self.script.way_ms,
-            "drain_grace_ms": SCHEDULER["drain_grace_ms"],
+            "drain_grace_ms": scheduler.drain_grace_ms,
             "methods": effects,
-            "in_turn": [m for c in CLASSES if c.get("in_turn") for m in c["methods"]],
-            "order_settle_ms": SCHEDULER["order_settle_ms"],
-            "plans": PLANS,
+            "in_turn": [m for c in site.classes if c.in_turn for m in c.methods],
+            "order_settle_ms": scheduler.order_settle_ms,
+            "classes": {c.name: msgspec.to_builtins(c) for c in site.classes},
+            "plans": {n: msgspec.to_builtins(p.figures) for n, p in site.plans.items()},
             "volumes": {v.name: v.plan for v in self.volumes},
             "shards": {v.name: len(v.shards) for v in self.volumes},
+            "lies": {v.name: v.shards for v in self.volumes},
+            "writers": {v.name: self._writers(v) for v in self.volumes},
+            "machines": {str(s): msgspec.to_builtins(site.machine(s)) for s in range(self.script.nodes)},
+            "network": msgspec.to_builtins(site.network),
             "budget": {
-                "window_ms": SCHEDULER["budget_window_ms"],
-                "free": SCHEDULER["budget_free"],
-                "share": SCHEDULER["budget_share"],
-            },
-            "cold": {
-                "window_ms": m.tip_after_ms,
-                "multiple": m.fall_multiple,
-                "warm_up_ms": m.warm_up_ms,
-                "unit_ms": m.unit_ms,
-                "base_ms": m.base_ms,
-                "capacity_ms": {
-                    str(s): MACHINES[s % len(MACHINES)].cores * 1000 * MACHINES[s % len(MACHINES)].speed
-                    for s in range(self.script.nodes)
-                },
+                "window_ms": scheduler.budget_window_ms,
+                "free": scheduler.budget_free,
+                "share": scheduler.budget_share,
             },
             "killed": {d.name: d.killed for d in self.dispatchers},
             "born": {d.name: d.born for d in self.dispatchers} | self._births(),
             "hosts": self._hosts_of_edges(),
-            "planners": {"born": {p.name: p.born for p in self.planners}, "kills": self.planner_kills},
+            "prefers": {
+                d.name: self.planners[self._planner_of(i)].name
+                for i, d in enumerate(self.dispatchers)
+                if self.planners
+            },
+            "planners": {
+                "born": {p.name: p.born for p in self.planners},
+                "killed": {p.name: p.killed for p in self.planners},
+                "kills": self.planner_kills,
+            },
         }
 
     def _hosts_of_edges(self) -> dict[str, str]:
@@ -294,7 +288,16 @@
         with tempfile.TemporaryDirectory() as self.folder:
             async with anyio.create_task_group() as tasks:
                 self.tasks = tasks
-                self.sim = None if script.real else SimNet(tasks, script.seed * 31 + 7)
+                self.sim = (
+                    None
+                    if script.real
+                    else SimNet(
+                        tasks,
+                        script.seed * 31 + 7,
+                        low_ms=self.site.network.least_ms,
+                        high_ms=self.site.network.most_ms,
+                    )
+                )
                 await self._open_hall(tasks)
                 for planner in self.planners:
                     await self._start_planner(planner)
@@ -333,11 +336,15 @@
     async def _open_hall(self, tasks: TaskGroup) -> None:
         script = self.script
         store = Store(memory_bytes=1 << 28, spill_bytes=1 << 20)
-        self.listing = Listing(clock=self.clock, seed=script.seed + 5, late_ms=1500.0, record=self._record)
-        rates = Rates({v.name: PLANS[v.plan]["rate"] for v in self.volumes})
+        site = self.site
+        self.listing = Listing(
+            clock=self.clock, seed=script.seed + 5, late_ms=site.list_late_ms, record=self._record
+        )
+        rates = Rates({v.name: site.plans[v.plan].figures.rate for v in self.volumes})
+        meter = Meter(site.scheduler.meter_period_ms or 1000.0, site.meter_late_ms)
         self.hall = Hall(
-            tasks, self._open, self.clock, self._wall, script.seed, list(MACHINES), RACK_WINDOW_MS,
-            Meter(1000.0, 400.0), rates, store, self.listing, self._record,
+            tasks, self._open, self.clock, self._wall, script.seed, [m.model() for m in site.machines],
+            site.window_ms(), meter, rates, store, self.listing, self._record,
         )  # fmt: skip
         for shard in range(script.nodes):
             await self.hall.start(shard, f"n{shard}:{7000 + shard}")
@@ -352,10 +359,12 @@
                 for collection in ("a", "b"):
                     path = DavPath(volume.name, (collection,))
                     self.hall.racks[shard].execute(Task("MKCOL", path, {}, None, b"", self._wall()))
-            for index in range(40):
+            use = self.site.volumes
+            for index in range(use.objects):
                 path = DavPath(volume.name, ("ab"[index % 2], f"o{index}"))
                 rack = self.hall.racks[home(path.key, tuple(volume.shards))]
-                size = 200 + (index * 37) % (3 * UNIT_BYTES)
+                span = use.object_most_bytes - use.object_least_bytes
+                size = use.object_least_bytes + (index * 37) % max(1, span)
                 body: Spool = whole(store, b"s" * size)
                 rack.execute(Task("PUT", path, {}, body, b"", self._wall()))
 
@@ -411,6 +420,7 @@
 
     async def _kill_planner(self, planner: _Planner) -> None:
         assert planner.scope is not None and planner.close is not None
+        planner.killed.append(self.clock())
         planner.scope.cancel()
         await planner.close()
 
@@ -440,11 +450,11 @@
     async def _load(self, tasks: TaskGroup) -> None:
         """Draw arrivals; they do not wait for answers."""
         draw = random.Random(self.script.seed * 17 + 3)
-        end = self.clock() + self.script.length_ms
+        end, rate = self.clock() + self.script.length_ms, self._rate()
         at = self.clock()
         while True:
             factor = 1.0 + sum(self.surge.values())
-            at += draw.expovariate(self.script.rate * factor / 1000)
+            at += draw.expovariate(rate * factor / 1000)
             if at >= end:
                 return
             await anyio.sleep(max(0.0, (at - self.clock()) / 1000))
@@ -460,20 +470,22 @@
         """One user's wish: a request, and at most one repeat of it."""
         assert dispatcher.client is not None
         method, target, headers, body = self._wish(volume, draw, name)
-        cls = next(c for c in CLASSES if method in c["methods"])
-        patience = float(cls["deadline_ms"])
+        cls = self.site.class_of(method)
+        patience = cls.deadline_ms
         key = f"k-{name}"
+        unit = self.site.units.unit_bytes
+        units = float(min(self.site.units.most, max(1, -(-len(body) // unit)))) if method == "PUT" else 1.0
         began = self.clock()
-        for attempt in range(2):
+        for attempt in range(1 + self.site.traffic.repeats):
             leave = None
             if self.leaving and draw.random() < self.leaving:
                 leave = draw.uniform(5, 250)
             fields = [*headers]
-            if cls["effect"] == "keyed":
+            if cls.effect == "keyed":
                 fields.append((b"idempotency-key", key.encode()))
             seen = await dispatcher.client.request(
                 f"{name}.{attempt}", method, target, headers=fields, body=body, patience_ms=patience,
-                leave_after_ms=leave,
+                leave_after_ms=leave, units=units,
             )  # fmt: skip
             if not self._again(seen, cls):
                 return
@@ -486,41 +498,39 @@
                 key = f"k-{name}-again"
 
     @staticmethod
-    def _again(seen: Seen, cls: dict[str, Any]) -> bool:
+    def _again(seen: Seen, cls: Class) -> bool:
         """A refusal says that a retry is harmless; after a failure only reading is repeated."""
         if seen.how in ("left", "cut", "not connected"):
             return True
-        return seen.status == 503 or (seen.status >= 500 and cls["effect"] == "repeatable")
+        return seen.status == 503 or (seen.status >= 500 and cls.effect == "repeatable")
 
     def _wish(self, volume: _Volume, draw: random.Random, name: str) -> tuple[str, str, Headers, bytes]:
+        traffic, use = self.site.traffic, self.site.volumes
+        parts = dict(traffic.methods)
+        if self.script.ordered is not None:
+            parts["PROPPATCH"] = self.script.ordered * sum(parts.values())
+        method = draw.choices(list(parts), list(parts.values()))[0]
         place = f"/{volume.name}/{draw.choice('ab')}"
-        kind = draw.random()
-        if kind < 0.62:
-            index = draw.randrange(40)
-            return "GET", f"/{volume.name}/{'ab'[index % 2]}/o{index}", [], b""
-        if kind < 0.62 + self.script.ordered:
-            state = (
-                b'<propertyupdate xmlns="DAV:"><set><prop><s xmlns="x:">1</s></prop></set></propertyupdate>'
-            )
-            return "PROPPATCH", f"/{volume.name}/a/o0", [], state
-        if kind < 0.92:
-            size = draw.randint(100, 4 * UNIT_BYTES)
-            return "PUT", f"{place}/w{draw.randrange(200)}", [], b"w" * size
-        if kind < 0.95:
-            return "PROPFIND", place, [(b"depth", b"1")], b""
-        if kind < 0.96:
-            return "MKCOL", f"{place}/c-{name}", [], b""
-        if kind < 0.98:
-            target = f"{place}/m-{name}"
-            return "MOVE", f"{place}/w{draw.randrange(200)}", [(b"destination", target.encode())], b""
-        if kind < 0.99:
-            return (
-                "COPY",
-                f"{place}/o{draw.randrange(40)}",
-                [(b"destination", f"{place}/c{name}".encode())],
-                b"",
-            )
-        return "DELETE", f"{place}/w{draw.randrange(200)}", [], b""
+        index = draw.randrange(use.objects)
+        known = f"/{volume.name}/{'ab'[index % 2]}/o{index}"
+        written = f"{place}/w{draw.randrange(200)}"
+        match method:
+            case "PROPPATCH":
+                return method, f"/{volume.name}/a/o0", [], STATE
+            case "PUT":
+                body = b"w" * draw.randint(traffic.put_least_bytes, traffic.put_most_bytes)
+                return method, written, [], body
+            case "PROPFIND":
+                return method, place, [(b"depth", b"1")], b""
+            case "MKCOL":
+                return method, f"{place}/c-{name}", [], b""
+            case "MOVE":
+                return method, written, [(b"destination", f"{place}/m-{name}".encode())], b""
+            case "COPY":
+                return method, known, [(b"destination", f"{place}/c{name}".encode())], b""
+            case "DELETE":
+                return method, written, [], b""
+        return method, known, [], b""
 
     # --- troubles
 
@@ -553,10 +563,10 @@
     async def _do_slow(self, draw: random.Random, length: float) -> None:
         nodes = self._some(draw, max(1, self.script.nodes // 5))
         for node in nodes:
-            node.faults.slow = draw.uniform(3, 8)
+            node.fault(slow=draw.uniform(3, 8))
         await anyio.sleep(8 * length)
         for node in nodes:
-            node.faults.slow = 1.0
+            node.fault(slow=1.0)
 
     async def _do_replace(self, draw: random.Random, length: float) -> None:
         """Drain a node, start a cold one in its place, then end the old one."""
@@ -593,10 +603,10 @@
     async def _do_lost(self, draw: random.Random, length: float) -> None:
         nodes = self._some(draw, 2)
         for node in nodes:
-            node.faults.lost = draw.uniform(0.1, 0.25)
+            node.fault(lost=draw.uniform(0.1, 0.25))
         await anyio.sleep(6 * length)
         for node in nodes:
-            node.faults.lost = 0.0
+            node.fault(lost=0.0)
 
     async def _do_late_list(self, draw: random.Random, length: float) -> None:
         self.listing.stale_ms, self.listing.failing, self.listing.twice = 2500.0, 0.5, True
@@ -617,24 +627,24 @@
 
     async def _do_hung(self, draw: random.Random, length: float) -> None:
         (node,) = self._some(draw, 1)
-        node.faults.hung = True
+        node.fault(hung=True)
         await anyio.sleep(3 * length)
-        node.faults.hung = False
+        node.fault(hung=False)
 
     async def _do_broken(self, draw: random.Random, length: float) -> None:
         (node,) = self._some(draw, 1)
-        faults = node.faults
-        faults.errors, faults.reset, faults.truncated = 0.15, 0.1, 0.1
+        node.fault(errors=0.15, reset=0.1, truncated=0.1)
         await anyio.sleep(5 * length)
-        faults.errors, faults.reset, faults.truncated = 0.0, 0.0, 0.0
+        node.fault(errors=0.0, reset=0.0, truncated=0.0)
 
     async def _do_refusing(self, draw: random.Random, length: float) -> None:
         (node,) = self._some(draw, 1)
-        node.faults.refusing = True
+        node.fault(refusing=True)
         await anyio.sleep(2 * length)
-        node.faults.refusing = False
+        node.fault(refusing=False)
         if node.performance is not None:
             node.performance.pause(self.clock(), 400.0)
+            node.note("paused=400")
 
     async def _do_planners(self, draw: random.Random, length: float) -> None:
         """Planners are killed again and again, at drawn moments, and come back knowing nothing."""
@@ -664,10 +674,10 @@
         """Every node fails half of its requests at once."""
         nodes = self._some(draw, self.script.nodes)
         for node in nodes:
-            node.faults.errors = 0.5
+            node.fault(errors=0.5)
         await anyio.sleep(3 * length)
         for node in nodes:
-            node.faults.errors = 0.0
+            node.fault(errors=0.0)
 
     async def _do_silent(self, draw: random.Random, length: float) -> None:
         """A node accepts no new connection."""
@@ -675,10 +685,13 @@
             return
         (node,) = self._some(draw, 1)
         self.sim.silent.add(node.name)
+        node.note("silent=True")
         await anyio.sleep(3 * length)
         self.sim.silent.discard(node.name)
+        node.note("silent=False")
 
 
+STATE = b'<propertyupdate xmlns="DAV:"><set><prop><s xmlns="x:">1</s></prop></set></propertyupdate>'
 SPECIAL = ("restarts",)  # played only where it is asked for by name
 TROUBLES = (
     ("restarts", 3.0),
--- a/cressrock/lab/judge.py
+++ b/cressrock/lab/judge.py
@@ -270,10 +270,7 @@
     # --- rule 4
 
     def _cold(self) -> None:
-        cold = self.facts.get("cold")
-        if not cold:
-            return
-        window, multiple = float(cold["window_ms"]), float(cold["multiple"])
+        machines: dict[str, dict[str, float]] = self.facts["machines"]
         started: dict[str, Row] = {}
         recent: dict[str, deque[tuple[float, float]]] = defaultdict(deque)
         worst = 0.0
@@ -289,15 +286,17 @@
             if row.what != "came" or up is None:
                 continue
             age = row.t_ms - up.t_ms
-            if age > float(cold["warm_up_ms"]) + window:
+            at = machines[str(row.shard)]
+            window, multiple, warm_up = at["tip_after_ms"], at["fall_multiple"], at["warm_up_ms"]
+            if age > warm_up + window:
                 continue
             self.found.looked_at[4] += 1
             sent = recent[row.node]
-            sent.append((row.t_ms, row.units * cold["unit_ms"] + cold["base_ms"]))
+            sent.append((row.t_ms, row.units * at["unit_ms"] + at["base_ms"]))
             while sent[0][0] <= row.t_ms - window:
                 sent.popleft()
-            share = min(1.0, up.units + (1 - up.units) * age / float(cold["warm_up_ms"]))
-            bound = multiple * cold["capacity_ms"][str(up.shard)] * share * window / 1000
+            share = min(1.0, up.units + (1 - up.units) * age / warm_up)
+            bound = multiple * at["cores"] * at["speed"] * share * window
             used = sum(work for _, work in sent) / bound
             worst = max(worst, used)
             if used > 1:
--- a/cressrock/lab/model.py
+++ b/cressrock/lab/model.py
@@ -26,6 +26,7 @@
     flush_ms: float = 2000.0  # and done together this often
     cold_from: float = 0.2
     warm_up_ms: float = 10000.0
+    noise: float = 0.3  # a request's work is drawn this far around its mean
     fall_multiple: float = 2.5
     tip_after_ms: float = 1000.0
 
@@ -49,7 +50,7 @@
         self.random = random.Random(seed)
         self.free = [started_ms] * machine.cores
         self.ends: deque[float] = deque()
-        self.last_keys: deque[str] = deque(maxlen=max(1, machine.remembers))
+        self.last_keys: deque[str] = deque(maxlen=machine.remembers)
         self.put_off = 0.0
         self.flush_at = started_ms + machine.flush_ms
         self.slow = 1.0
@@ -91,7 +92,7 @@
         if now >= self.flush_at:
             work += self.put_off
             self.put_off, self.flush_at = 0.0, now + machine.flush_ms
-        work *= self.random.uniform(0.7, 1.3)
+        work *= self.random.uniform(1 - machine.noise, 1 + machine.noise)
         core = min(range(machine.cores), key=lambda c: self.free[c])
         began = max(now, self.free[core])
         done = began + work * self.slow / (machine.speed * self.share(now))
--- a/cressrock/lab/node.py
+++ b/cressrock/lab/node.py
@@ -7,7 +7,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import anyio
 import h11
@@ -90,6 +90,19 @@
         self._by_dispatcher: dict[tuple[str, str], float] = {}
         self._reports: tuple[float, dict[str, float]] = (-1e9, {})
 
+    def fault(self, **changes: float | bool) -> None:
+        """Change what is wrong with the node, and note it in the trace."""
+        self.faults = replace(self.faults, **changes)  # type: ignore[arg-type]
+        for name, value in changes.items():
+            self.note(f"{name}={value}")
+
+    def note(self, what: str) -> None:
+        """Enter a change of the node's state in the trace."""
+        if self.record is not None:
+            self.record(
+                Row(self.clock(), "node", "fault", node=self.name, shard=self.rack.shard, detail=what)
+            )
+
     async def serve(self, stream: Stream) -> None:
         """Serve one connection."""
         await self.server.serve(stream)
--- a/cressrock/settings/load.py
+++ b/cressrock/settings/load.py
@@ -19,21 +19,32 @@
     """Settings that cannot be used; the text is for the operator."""
 
 
-def evaluate(path: str, variables: dict[str, str] | None = None) -> Any:
-    """Evaluate a Jsonnet file.  `import "cressrock.libsonnet"` gives the defaults.  Raises SettingsError."""
+def evaluate(
+    path: str, variables: dict[str, str] | None = None, libraries: dict[str, Path] | None = None
+) -> Any:
+    """Evaluate a Jsonnet file.  `import "cressrock.libsonnet"` gives the defaults.  Raises SettingsError.
+
+    `libraries` are further names that may be imported from anywhere.
+    """
     try:
         text = Path(path).read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as wrong:
         raise SettingsError(f"{path}: cannot be read: {wrong}") from None
-    return evaluate_text(path, text, variables)
+    return evaluate_text(path, text, variables, libraries)
 
 
-def evaluate_text(path: str, text: str, variables: dict[str, str] | None = None) -> Any:
+def evaluate_text(
+    path: str,
+    text: str,
+    variables: dict[str, str] | None = None,
+    libraries: dict[str, Path] | None = None,
+) -> Any:
     """Evaluate Jsonnet text that came from a path.  Raises SettingsError."""
 
     def find(directory: str, name: str) -> tuple[str, str]:
-        if name == "cressrock.libsonnet":
-            source = DEFAULTS
+        known = {"cressrock.libsonnet": DEFAULTS} | (libraries or {})
+        if name in known:
+            source = known[name]
         else:
             # Text has no place of its own: what it imports is looked for beside the file that it came from.
             beside = Path(path).parent / name
@@ -52,7 +63,7 @@
     try:
         return msgspec.convert(value, Gateway)
     except msgspec.ValidationError as wrong:
-        raise SettingsError(_explain(path, str(wrong), value)) from None
+        raise SettingsError(explain(path, str(wrong), value)) from None
     except ValueError as wrong:
         raise SettingsError(f"{path}: {wrong}") from None
 
@@ -62,7 +73,7 @@
     return convert(path, evaluate(path, variables))
 
 
-def _explain(path: str, text: str, value: Any) -> str:
+def explain(path: str, text: str, value: Any) -> str:
     """Say where, what stands there, and what would be right."""
     match = re.search(r" - at `(?:key in )?\$?([^`]*)`$", text)
     if match is None:
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -61,13 +61,13 @@
 
 
 class Forgetful(Driver):
-    """Rule 1: now and then an answer is never given."""
+    """Rule 1: every second denial is never given."""
 
     lost = 0
 
     def _deny(self, name, verdict, reason, retry_after_ms):
         self.lost += 1
-        if self.lost % 10:
+        if self.lost % 2:
             super()._deny(name, verdict, reason, retry_after_ms)
 
 
