Late work leaves one slot free; past the gate, one request a round tries whether the jam is over

Cause: late work left one at a time however wide D was, and a passed jam's figure held everything but reserves for seconds while the node stood idle. Change: late work may fill D but for one slot; where the gate or a wait holds work back, all hosts together try with one request an answer time.

--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -567,6 +567,8 @@
     def _pick(self, lane: _Lane, node: _Node, room: float) -> _Request | None:
         """Choose the lowest tag plus compensation among the volumes' heads; late work only after these."""
         best: tuple[float, _Request] | None = None
+        # A passed jam looks like a lasting one to whoever sends nothing.  All hosts together try with one.
+        probe = not node.out and self.now >= node.last_sent + self.set.hosts * node.lag
         for flow in lane.flows.values():
             if not flow.waiting:
                 continue
@@ -578,7 +580,7 @@
                 continue
             # Danger: at a crowded node what earns a part stands before what earns all, and few hosts hold
             # both to put them in order.  With no reserve on any plan D alone decides.
-            if node.ratio > GUARDED and self.reserves and not self._reserved(head):
+            if node.ratio > GUARDED and self.reserves and not probe and not self._reserved(head):
                 continue
             tag = self._tags(flow, head)[0] + (0.0 if self._reserved(head) else flow.compensation)
             if best is None or tag < best[0]:
@@ -586,9 +588,8 @@
         if best is not None:
             return best[1]
         # Late work earns little and stands before what comes next: it leaves only to an idle node.
-        if node.out or node.strays or node.drawn < 1 or node.ratio > GUARDED:
-            return None
-        if node.ratio > node.target and self.now < node.last_sent + self.set.hosts * node.lag:
+        held = len(node.out) + len(node.strays)
+        if node.drawn < 1 or held >= max(1, int(node.depth) - 1) or (node.ratio > node.target and not probe):
             return None
         return self._first([r for r in lane.late if r.end_at > self.now + node.lag], node, room)
 
