A user's waited time is told, not guessed; D gets room of a whole uncrowded answer

Cause: what a request's time lacked of its class's longest was read as time already waited. A COPY's inner GET has its write's patience, so every plain GET after it arrived 'late': most refusals beside idle nodes were that.

D narrows only beyond a wait of a whole uncrowded answer, late work still wants a quiet node, and the gate stands by how much less work beyond a reserve earns (share_worth): none where it earns the same. A deaf idle node's wait fades until it is quiet.

--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -41,9 +41,10 @@
 EPSILON = 2.0  # usual requests: a smaller gap between two volumes is noise
 FADE = 0.5  # what a period without unfairness leaves of a compensation
 LAG_TARGET = 0.04  # of a class's aim: the wait, beyond an uncrowded answer, that D above one steers to
-ROOM = 0.4  # of an uncrowded answer: a wait that its own spread explains, whatever the aim
+ROOM = 1.0  # of an uncrowded answer: a wait that its own spread explains, whatever the aim
+QUIET = 0.4  # of that room: under such a wait a node counts as idle
 CROWDED = 0.4  # of the aim: only where the wait is longer D falls under one
-GUARDED = 0.2  # of the aim: where the wait is longer only what is inside a reserve leaves
+GUARDED = 0.12  # of the aim: where the wait is longer only what is inside a reserve leaves
 MEMORY = 0.02  # weight of the newest answer in what a unit costs at a node, once there were many
 RELEARN_MS = 30000.0  # in which an uncrowded answer time nears what a node shows at a D of one
 SMOOTH = 0.3  # weight of the newest answer in a node's smoothed times
@@ -180,7 +181,9 @@
         self.ask_at = now_ms if settings.must_ask else FOREVER
         self.ask_wait = 0.0
         self.logged = 0
-        self.reserves = any(plan.reserve for plan in settings.plans)
+        # What lies beyond a reserve waits the sooner the less it earns; where it earns the same, never.
+        less = 1 - settings.share_worth if any(plan.reserve for plan in settings.plans) else 0.0
+        self.gate = GUARDED / less if less > 0 else FOREVER
         self.aim = min(c.aim_ms for c in settings.classes)
 
     def act(self, now_ms: float, events: list[Event]) -> list[Action]:
@@ -228,6 +231,8 @@
         # Danger: impatient clients come with less than the aim; these are fresh, worth all until they leave.
         longest = self.longest[index] = max(self.longest[index], left)
         waited = longest - left if left > cls.aim_ms else 0.0
+        if event.waited_ms >= 0:
+            waited = event.waited_ms
         request.aim_at = now + min(left, cls.aim_ms - waited)
         self.requests[event.request] = request
         if self.set.budget_window_ms:
@@ -444,7 +449,8 @@
         # how much an aim was missed says nothing, but would keep the node from being tried again for longer.
         # What later attempts overtook was lost on the way, which is no sign of a jam.
         missed = outcome in MAY_STILL_RUN and request.sent_at >= node.overtaken
-        missed = missed and (ratio > node.target if node.seen else lag > GUARDED * request.cls.aim_ms)
+        long = max(LAG_TARGET * request.cls.aim_ms, QUIET * easy) if node.seen else self.aim / 4
+        missed = missed and lag - easy > long
         if outcome is Outcome.OK:
             self._learn(node, request.arrival.units, lag)
         if missed or ratio > 1:
@@ -580,16 +586,19 @@
                 continue
             # Danger: at a crowded node what earns a part stands before what earns all, and few hosts hold
             # both to put them in order.  With no reserve on any plan D alone decides.
-            if node.ratio > GUARDED and self.reserves and not probe and not self._reserved(head):
+            if node.ratio > self.gate and not probe and not self._reserved(head):
                 continue
             tag = self._tags(flow, head)[0] + (0.0 if self._reserved(head) else flow.compensation)
             if best is None or tag < best[0]:
                 best = (tag, head)
         if best is not None:
             return best[1]
-        # Late work earns little and stands before what comes next: it leaves only to an idle node.
+        # Late work earns little and stands before what comes next: it leaves one slot free, and only where
+        # next to nothing waits.
         held = len(node.out) + len(node.strays)
-        if node.drawn < 1 or held >= max(1, int(node.depth) - 1) or (node.ratio > node.target and not probe):
+        if node.drawn < 1 or held >= max(1, int(node.depth) - 1):
+            return None
+        if node.ratio > QUIET * node.target and not probe:
             return None
         return self._first([r for r in lane.late if r.end_at > self.now + node.lag], node, room)
 
@@ -651,7 +660,7 @@
         for key in [k for k, t in self.turns.items() if not t.queue and t.rest_until <= self.now]:
             del self.turns[key]
         for name, node in list(self.live_nodes.items()):
-            if not (node.out or node.strays) and node.ratio <= node.target and node.lag < self.aim:
+            if not (node.out or node.strays) and node.ratio <= QUIET * node.target and node.lag < self.aim:
                 del self.live_nodes[name]
             elif not (node.out or node.strays):
                 # A bad figure keeps work away and so is never put right by an answer: let it fade.
--- a/cressrock/dispatch/driver.py
+++ b/cressrock/dispatch/driver.py
@@ -82,6 +82,7 @@
     label: str
     deadline: float
     taken_at: float
+    since: float  # when its user began to wait
     ready: anyio.Event = field(default_factory=anyio.Event)
     result: Result | None = None
 
@@ -136,26 +137,35 @@
         self._tell("", 0, report)
 
     async def perform(
-        self, exchange: str, number: int, op: Operation, deadline: float, label: str = ""
+        self,
+        exchange: str,
+        number: int,
+        op: Operation,
+        deadline: float,
+        label: str = "",
+        since: float | None = None,
     ) -> Result:
         """Take an operation and return its one final answer.
 
         `label` names the client's request in what goes to the nodes, for logs and traces only.
-        `deadline` is on the driver's clock.  Cancelling this call says that the client has left; what is
-        out at a node runs on to its outcome, which the decision module hears and nobody is shown.
+        `deadline` and `since`, when the client's request was taken, are on the driver's clock.
+        Cancelling this call says that the client has left; what is out at a node runs on to its outcome,
+        which the decision module hears and nobody is shown.
         """
         name = f"{exchange}.{number}"
         now = self.clock()
         cls = self.classes[op.request_class]
+        since = now if since is None else since
         if op.idempotency_key and cls.effect is Effect.KEYED:
             first = self.keys.first(op.idempotency_key, now)
             if first is not None:
+                since = min(since, first)  # a later try of the same user
                 deadline = min(deadline, first + cls.repeat_window_ms)
                 if now >= deadline:
                     return Denied(Verdict.FAILED, Reason.KEY)
         if self.ledger.take(name, exchange, cls, deadline, now) is None:
             return Denied(Verdict.REFUSED, Reason.FULL, self.retry_after_ms)
-        slot = self.slots[name] = _Slot(op, f"{label or exchange};{number}", deadline, now)
+        slot = self.slots[name] = _Slot(op, f"{label or exchange};{number}", deadline, now, since)
         self._tell(name, 1, slot)
         try:
             await slot.ready.wait()
@@ -241,6 +251,7 @@
             request_class=op.request_class,
             shard=op.shard,
             writers=op.writers,
+            waited_ms=max(0.0, now - slot.since),
         )
 
     def _carry_out(self, action: Action, now: float) -> None:
--- a/cressrock/edge/core.py
+++ b/cressrock/edge/core.py
@@ -134,6 +134,7 @@
             0, now, name, a.volume, a.key[:512], a.units,
             max(0.0, held.deadline - self.away.answer_margin_ms), a.plan, a.request_class,
             a.shard, a.writers,
+            a.waited_ms if a.waited_ms < 0 else a.waited_ms + now - (held.deadline - a.remaining_ms),
         )  # fmt: skip
         self._up(request, now)
 
--- a/cressrock/interface.py
+++ b/cressrock/interface.py
@@ -161,7 +161,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Arrival:
-    """A client's request; from now on one final answer is owed.  shard -1: any node may take it."""
+    """A client's request; from now on one final answer is owed.  shard -1: any node may take it.
+
+    `waited_ms` is how long its user has waited already; negative: nobody knows, and what `remaining_ms`
+    lacks of the longest seen of its class stands for it.
+    """
 
     request: str
     volume: str
@@ -172,6 +176,7 @@
     request_class: int = 0
     shard: int = -1
     writers: int = 1
+    waited_ms: float = -1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/cressrock/link/messages.py
+++ b/cressrock/link/messages.py
@@ -79,6 +79,7 @@
     request_class: Count
     shard: Annotated[int, Meta(ge=-1, le=65535)]
     writers: Count
+    waited_ms: Annotated[float, Meta(ge=-1, le=1e15)] = -1.0  # at the event's time; negative: unknown
 
 
 class Ended(Message, frozen=True, tag="ended"):
--- a/cressrock/planner/core.py
+++ b/cressrock/planner/core.py
@@ -240,6 +240,11 @@
                 request_class=request.request_class,
                 shard=request.shard,
                 writers=request.writers,
+                waited_ms=(
+                    request.waited_ms + max(0.0, edge.clock_ms - request.at_ms)
+                    if request.waited_ms >= 0
+                    else -1.0
+                ),
             )
         )
 
--- a/cressrock/webdav/front.py
+++ b/cressrock/webdav/front.py
@@ -222,7 +222,8 @@
         patience = cls.deadline_ms
         if request.wait_s is not None:
             patience = min(request.wait_s, self.settings.front.longest_wait_s) * 1000
-        deadline = self.clock() + max(0.0, patience - self.settings.front.answer_margin_ms)
+        since = self.clock()
+        deadline = since + max(0.0, patience - self.settings.front.answer_margin_ms)
         steps = compose.compose(request, self.site)
         results: list[Result] | None = None
         number = 0
@@ -233,12 +234,13 @@
                               for i, call in enumerate(calls)]  # fmt: skip
                 number += len(calls)
                 if len(operations) == 1:
-                    results = [await self._perform(calls[0], name, *operations[0], deadline, label, spools)]
+                    only = await self._perform(calls[0], name, *operations[0], deadline, since, label, spools)
+                    results = [only]
                     continue
                 found: dict[int, Result] = {}
 
                 async def one(call: Call, index: int, op: Operation, into: dict[int, Result]) -> None:
-                    into[index] = await self._perform(call, name, index, op, deadline, label, spools)
+                    into[index] = await self._perform(call, name, index, op, deadline, since, label, spools)
 
                 async with anyio.create_task_group() as tasks:
                     for call, (index, op) in zip(calls, operations, strict=True):
@@ -255,10 +257,11 @@
         index: int,
         op: Operation,
         deadline: float,
+        since: float,
         label: str,
         spools: list[Spool],
     ) -> Result:
-        result = await self.driver.perform(name, index, op, deadline, label)
+        result = await self.driver.perform(name, index, op, deadline, label, since)
         if isinstance(result, Reply) and call.collect and result.stream is not None:
             return await self._collect(result, result.stream, spools)
         return result
