D up to 64, put to the test now and then: many cores and a long way are no longer left idle

Cause: ten out from one host cannot fill sixteen cores or a way of 40 ms; and a base learnt too low, of repeats or chance, kept a wide D from growing, since only a D of one may raise it.

--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -35,7 +35,8 @@
     Subscribe,
 )
 
-DEPTH = 10.0  # the paper's D: the bound of one host's, and the start of all hosts' together, at a node
+DEPTH = 10.0  # the paper's D: the start of all hosts' together at a node, and what D under one divides by
+WIDEST = 64.0  # the bound of one host's D: nodes of many cores, or a long way off, want more than ten out
 PERIOD_MS = 100.0  # the paper's period of the compensation
 BEAT = 0.2  # of a period: how often waiting work is looked at again when no event does it
 EPSILON = 2.0  # usual requests: a smaller gap between two volumes is noise
@@ -46,6 +47,8 @@
 CROWDED = 0.4  # of the aim: only where the wait is longer D falls under one
 GUARDED = 0.12  # of the aim: where the wait is longer only what is inside a reserve leaves
 MEMORY = 0.02  # weight of the newest answer in what a unit costs at a node, once there were many
+TRIED = 3  # answers to requests that were out alone, by which a wide D is put to the test
+TRIAL_MS = 10000.0  # between such tests
 RELEARN_MS = 30000.0  # in which an uncrowded answer time nears what a node shows at a D of one
 SMOOTH = 0.3  # weight of the newest answer in a node's smoothed times
 LOST = 10.0  # times the answer expected of its class: an overtaken attempt out for longer is taken as lost
@@ -122,6 +125,9 @@
         self.rest = 0.0  # smoothed answer time of the mean units
         self.base = 0.0  # the same where nothing waits
         self.learnt_at = 0.0
+        self.wide = 0.0  # D to return to after the test that goes on; 0: none does
+        self.trial_at = 0.0  # when it began, or the next one is due
+        self.alone: list[float] = []  # levels of its answers
         self.out: dict[str, _Request] = {}
         self.strays: dict[str, _Request] = {}  # out, but taken as lost: hold no slot
         self.overtaken = 0.0  # sending time of the latest attempt that was answered
@@ -456,18 +462,22 @@
         if missed or ratio > 1:
             lag, ratio = request.cls.aim_ms, 1.0
         if answered or missed:
-            weight = SMOOTH if node.lag else 1.0
+            # Over a round of answers: with many out single ones say little.
+            weight = min(SMOOTH, 1 / node.depth) if node.lag else 1.0
             node.lag += weight * (lag - node.lag)
             node.ratio += weight * (ratio - node.ratio)
             node.target += weight * (max(LAG_TARGET, ROOM * easy / request.cls.aim_ms) - node.target)
             # Over the target D falls to one, and under one only where the node is clearly crowded.
             floor = 1.0 if node.ratio <= CROWDED else 1.0 / DEPTH
-            if min(ratio, node.ratio) > node.target and node.depth > floor:
+            if node.wide:
+                pass
+            elif min(ratio, node.ratio) > node.target and node.depth > floor:
                 node.depth = max(floor, node.depth * NARROW ** (1 / max(1.0, node.depth)))
             elif (node.depth < floor or node.ratio <= node.target) and len(node.out) + 1 >= int(node.depth):
-                node.depth = min(DEPTH, node.depth + WIDEN * min(node.depth, 1 / node.depth))
+                node.depth = min(WIDEST, node.depth + WIDEN * min(node.depth, 1 / node.depth))
         if answered:
             return
+        node.wide = 0.0
         if outcome is Outcome.FULL:
             # Danger: hundreds of hosts that each knock again after a moment keep a full queue full.
             node.depth = max(min(1.0, node.depth), node.depth / 2)
@@ -500,7 +510,7 @@
         node.var = (1 - weight) * (node.var + weight * more * more)
         node.cov = (1 - weight) * (node.cov + weight * more * over)
         level = lag - node.slope * (units - node.units)
-        node.rest += max(SMOOTH, weight) * (level - node.rest)
+        node.rest += max(min(SMOOTH, 1 / node.depth), weight) * (level - node.rest)
         since, node.learnt_at = self.now - node.learnt_at if node.seen > 1 else 0.0, self.now
         # Danger: first answers may come out of a jam.  Believed as they are, they would keep all work away.
         lowest = min(level, node.rest) if weight > SMOOTH / 2 else node.rest
@@ -511,6 +521,15 @@
         elif node.depth <= 1:
             alone = self.set.hosts == 1 and not node.out and not node.strays
             node.base += (SMOOTH if alone else min(1.0, since / RELEARN_MS)) * (node.rest - node.base)
+        if node.wide and self.now - lag >= node.trial_at:
+            node.alone.append(level)
+            if len(node.alone) >= TRIED:
+                node.base = max(node.base, min(node.alone))
+                node.depth, node.wide, node.trial_at = node.wide, 0.0, self.now + TRIAL_MS
+        elif node.depth >= TRIED and self.now >= node.trial_at and not node.wide:
+            # Danger: a base too low, of repeats or chance, would keep D narrow; risen under the own queue it
+            # would widen D for ever.  So D above one is put back, for a few answers, now and then.
+            node.wide, node.depth, node.trial_at, node.alone = node.depth, 1.0, self.now, []
         # Few answers are read as a cost that is all by units; nothing costs less than nothing.
         share, doubt = node.base / node.units, weight * node.units**2
         node.slope = min(share, max(0.0, (node.cov + doubt * share) / (node.var + doubt)))
@@ -551,7 +570,7 @@
 
     def _room(self, node: _Node) -> bool:
         """Whether fewer than D are out; what timed out may still run, but the node rests with it."""
-        if self.now < node.closed_until or len(node.out) >= DEPTH or len(node.strays) >= DEPTH:
+        if self.now < node.closed_until or len(node.out) >= WIDEST or len(node.strays) >= DEPTH:
             return False
         if not node.out:
             # Danger: one each from hundreds of hosts is a jam.  D under one is a rest between sends.
