--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -42,9 +42,9 @@
 EPSILON = 2.0  # usual requests: a smaller gap between two volumes is noise
 FADE = 0.5  # what a period without unfairness leaves of a compensation
 LAG_TARGET = 0.04  # of a class's aim: the wait, beyond an uncrowded answer, that D above one steers to
-ROOM = 1.0  # of an uncrowded answer: a wait that its own spread explains, whatever the aim
-QUIET = 0.4  # of that room: under such a wait a node counts as idle
-CROWDED = 0.4  # of the aim: only where the wait is longer D falls under one
+ROOM = 0.7  # of an uncrowded answer: a wait that its own spread explains, whatever the aim
+QUIET = 0.5  # of that room: under such a wait a node counts as idle
+CROWDED = 0.35  # of the aim: only where the wait is longer D falls under one
 GUARDED = 0.12  # of the aim: where the wait is longer only what is inside a reserve leaves
 MEMORY = 0.02  # weight of the newest answer in what a unit costs at a node, once there were many
 TRIED = 3  # answers to requests that were out alone, by which a wide D is put to the test
@@ -513,14 +513,16 @@
         node.rest += max(min(SMOOTH, 1 / node.depth), weight) * (level - node.rest)
         since, node.learnt_at = self.now - node.learnt_at if node.seen > 1 else 0.0, self.now
         # Danger: first answers may come out of a jam.  Believed as they are, they would keep all work away.
-        lowest = min(level, node.rest) if weight > SMOOTH / 2 else node.rest
+        few = weight > SMOOTH / 2 and units <= node.units  # of a large one the unsure slope takes too much
+        lowest = min(level, node.rest) if few else node.rest
         if node.seen == 1:
             node.base = min(level, self.aim / 2)
         elif lowest < node.base:
             node.base = lowest
+        elif self.set.hosts == 1 and not node.out and not node.strays:
+            node.base += SMOOTH * (node.rest - node.base)
         elif node.depth <= 1:
-            alone = self.set.hosts == 1 and not node.out and not node.strays
-            node.base += (SMOOTH if alone else min(1.0, since / RELEARN_MS)) * (node.rest - node.base)
+            node.base += min(1.0, since / RELEARN_MS) * (node.rest - node.base)
         if node.wide and self.now - lag >= node.trial_at:
             node.alone.append(level)
             if len(node.alone) >= TRIED:
@@ -531,7 +533,7 @@
             # would widen D for ever.  So D above one is put back, for a few answers, now and then.
             node.wide, node.depth, node.trial_at, node.alone = node.depth, 1.0, self.now, []
         # Few answers are read as a cost that is all by units; nothing costs less than nothing.
-        share, doubt = node.base / node.units, weight * node.units**2
+        share, doubt = node.base / node.units, (weight * node.units) ** 2
         node.slope = min(share, max(0.0, (node.cov + doubt * share) / (node.var + doubt)))
 
     @staticmethod
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cressrock.brain import DEPTH, WIDEST, NEVER_RAN, PERIOD_MS, RESTART_MS, Brain
+from cressrock.brain import DEPTH, NEVER_RAN, PERIOD_MS, RESTART_MS, WIDEST, Brain
 from cressrock.interface import (
     Arrival,
     Cancel,
@@ -67,6 +67,7 @@
     brain.act(0.0, [NodeList(ListKind.CACHED, tuple(lines))])
     for node in brain.nodes.values():
         node.depth = depth
+        node.trial_at = 1e9  # no test of D
     return brain
 
 
@@ -517,3 +518,109 @@
         grown = 1 + 4 * max(0.0, start - 10000) / 10000
         # What it surely bears leaves a margin to the rule; chance may take half as much again of it.
         assert 2.0 * sum(start <= t < start + 1000 for t in sends) <= 1.5 * bears * grown
+
+
+def answer(brain, now, name, lag, units=1.0):
+    """One request, alone at its node, and its answer; returns the node."""
+    brain.act(now, [ask(name, units=units)])
+    brain.act(now + lag, [done(name, lag=lag)])
+    return brain.nodes["a"]
+
+
+def test_an_uncrowded_answer_is_learnt_by_units_and_a_queue_does_not_change_its_slope():
+    """Danger: large requests look like a crowd, small ones like an idle node."""
+    brain = host(hosts=10)
+    for step in range(60):
+        units = float(1 + step % 8)
+        queue = 40.0 * (step % 3)  # as long for the large as for the small
+        node = answer(brain, 500.0 * step, f"r{step}", 80.0 + 4.0 * units + queue, units)
+    assert 3.0 < node.slope < 5.0
+    assert 60.0 <= brain._uncrowded(node, 1.0) <= 125.0 and brain._uncrowded(node, 8.0) <= 155.0
+
+
+@pytest.mark.parametrize("base", [2.0, 20.0, 150.0, 900.0])
+def test_d_grows_at_an_idle_node_however_long_its_answers_take(base):
+    """Danger: a target that is a part of the aim keeps D at one where an idle node's answer is longer."""
+    brain = host()
+    for step in range(40):
+        node = answer(brain, 2000.0 * step, f"r{step}", base)
+    assert node.depth > 1.9 and node.ratio < 0.05
+
+
+def test_a_first_answer_out_of_a_jam_is_not_taken_for_the_nodes_own():
+    """Danger: everything would be late from its arrival on, and nothing sent that could put it right."""
+    brain = host(hosts=40)
+    node = answer(brain, 0.0, "jam", 1400.0)
+    assert node.base <= 150.0
+    served = 0
+    for step in range(1, 60):
+        now = 2000.0 + 100.0 * step
+        for name in sent(brain.act(now, [ask(f"r{step}")])):
+            served += 1
+            brain.act(now + 30.0, [done(name, lag=30.0)])
+    assert node.base <= 40.0 and served > 40
+
+
+def test_a_node_that_becomes_slow_for_ever_is_learnt_anew_by_a_host_that_has_it_alone():
+    brain = host()
+    for step in range(30):
+        node = answer(brain, 200.0 * step, f"r{step}", 20.0)
+    for step in range(30):
+        answer(brain, 10000.0 + 400.0 * step, f"s{step}", 100.0)
+    assert node.base > 80.0 and node.ratio < 0.1
+
+
+def test_a_crowd_of_hosts_does_not_pass_for_the_nodes_own_time():
+    """Danger: a host that gives way to a queue of others would learn the queue, and push on."""
+    brain = host(hosts=40)
+    for step in range(20):
+        node = answer(brain, 100.0 * step, f"r{step}", 20.0)
+    for step in range(20):
+        now = 4000.0 + 150.0 * step
+        for name in sent(brain.act(now, [ask(f"s{step}")])):
+            brain.act(now + 140.0, [done(name, lag=140.0)])
+    assert node.base < 40.0 and node.ratio > 0.2
+
+
+def test_a_wide_d_is_put_to_the_test_and_comes_back():
+    """Danger: a base too low, of repeats, keeps D from growing; one learnt from the own queue lets it run."""
+    brain = host(depth=8.0)
+    node = brain.nodes["a"]
+    node.trial_at = 0.0
+    node.seen, node.base, node.rest, node.units = 50.0, 10.0, 30.0, 2.0
+    pending, least, now = [], 9, 0.0
+    for step in range(200):
+        now += 5.0
+        due = [name for at, name in pending if at <= now]
+        pending = [(at, name) for at, name in pending if at > now]
+        got = sent(brain.act(now, [*[done(name, lag=30.0) for name in due], ask(f"r{step}")]))
+        pending += [(now + 30.0, name) for name in got]
+        least = min(least, len(node.out)) if step > 10 else least
+    assert least <= 1 and node.base >= 25.0 and node.depth >= 7.0 and not node.wide
+
+
+def test_time_waited_is_taken_from_the_caller_where_it_is_known():
+    """Danger: a composed request's inner read has its write's patience, and made plain reads look late."""
+    brain = host()
+    inner = Arrival("inner", "v", "k", 1.0, 4000.0, 0, 0, 0, 1, 0.0)
+    plain = Arrival("plain", "v", "l", 1.0, 1500.0, 0, 0, 0, 1, 0.0)
+    brain.act(0.0, [inner, plain])
+    assert brain.requests["plain"].aim_at == 300.0
+
+
+def test_work_beyond_a_reserve_is_held_back_only_where_it_earns_less():
+    for share_worth, held in ((0.4, True), (1.0, False)):
+        brain = host(hosts=4, plans=(Plan(reserve=5.0),), share_worth=share_worth)
+        node = brain.nodes["a"]
+        answer(brain, 0.0, "first", 20.0)
+        node.ratio, node.lag = 0.3, 100.0
+        brain.volumes["v"].reserve = 0.0
+        assert bool(sent(brain.act(30.0, [ask("beyond")]))) is not held
+
+
+def test_late_work_may_fill_d_but_for_one_slot():
+    """Danger: one late request at a time leaves a node of many cores idle under a backlog."""
+    brain = host(depth=4.0)
+    brain.act(0.0, [Arrival(f"late{i}", "v", "", 1.0, 1500.0, 0, 0, 0, 1, 400.0) for i in range(6)])
+    assert len(brain.nodes["a"].out) == 3
+    assert sent(brain.act(1.0, [ask("in time")])) == ["in time"]
