The room of a wait: twice as wide for a host that has its nodes alone

Cause: a room that suits fifty hosts kept three or one from filling sixteen cores. Change: 0.7 of an uncrowded answer times one and a part for each host.

--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -42,7 +42,7 @@
 EPSILON = 2.0  # usual requests: a smaller gap between two volumes is noise
 FADE = 0.5  # what a period without unfairness leaves of a compensation
 LAG_TARGET = 0.04  # of a class's aim: the wait, beyond an uncrowded answer, that D above one steers to
-ROOM = 0.7  # of an uncrowded answer: a wait that its own spread explains, whatever the aim
+ROOM = 0.7  # of an uncrowded answer: a wait that its own spread explains; of a host alone twice that
 QUIET = 0.5  # of that room: under such a wait a node counts as idle
 CROWDED = 0.35  # of the aim: only where the wait is longer D falls under one
 GUARDED = 0.12  # of the aim: where the wait is longer only what is inside a reserve leaves
@@ -187,6 +187,8 @@
         self.ask_at = now_ms if settings.must_ask else FOREVER
         self.ask_wait = 0.0
         self.logged = 0
+        # Many hosts find out apart from each other that a queue grows; one alone knows all that is out.
+        self.room = ROOM * (1 + 1 / settings.hosts)
         # What lies beyond a reserve waits the sooner the less it earns; where it earns the same, never.
         less = 1 - settings.share_worth if any(plan.reserve for plan in settings.plans) else 0.0
         self.gate = GUARDED / less if less > 0 else FOREVER
@@ -466,7 +468,7 @@
             weight = min(SMOOTH, 1 / node.depth) if node.lag else 1.0
             node.lag += weight * (lag - node.lag)
             node.ratio += weight * (ratio - node.ratio)
-            node.target += weight * (max(LAG_TARGET, ROOM * easy / request.cls.aim_ms) - node.target)
+            node.target += weight * (max(LAG_TARGET, self.room * easy / request.cls.aim_ms) - node.target)
             # Over the target D falls to one, and under one only where the node is clearly crowded.
             floor = 1.0 if node.ratio <= CROWDED else 1.0 / DEPTH
             if node.wide:
