--- a/cressrock/cli/main.py
+++ b/cressrock/cli/main.py
@@ -26,6 +26,7 @@
 from cressrock.settings.load import convert
 
 OK, BROKEN, USAGE, UNAVAILABLE = 0, 1, 2, 3
+LAB_LIBRARIES = ("pyarrow", "trio", "scipy")
 
 
 def _version() -> str:
@@ -251,6 +252,7 @@
     level
         Of the log on standard error: debug, info, warning or error.
     """
+    _needs_lab()
     from cressrock.lab.serve import serve_lab
 
     if level not in logs.LEVELS:
@@ -290,15 +292,19 @@
     nodes: int = 4,
     planners: int = 0,
     rate: float = 40.0,
+    load: float = 0.0,
     seconds: float = 60.0,
+    site: Path | None = None,
     real: bool = False,
+    fail_on_idle: bool = False,
     only: Annotated[list[str] | None, Parameter(help="Play only these troubles.")] = None,
     trace: Path | None = None,
     json_output: Annotated[bool, Parameter(name="--json")] = False,
 ) -> None:
     """Play a troubled day through real dispatchers and judge it by the seven rules.
 
-    Exit code 1 if a rule was broken or a fence tripped.
+    Exit code 1 if a rule was broken or a fence tripped.  Beside the rules stand what was served, its share
+    of the best possible, how far the nodes were used, and what stood in the way of what was denied.
 
     Parameters
     ----------
@@ -310,14 +316,24 @@
         Make the dispatchers edges of so many planners, which are killed again and again; 0 for none.
     rate
         Requests a second of all clients together, before surges.
+    load
+        Instead of a rate: the part of the busiest shard's capacity that is asked for.
+    site
+        A Jsonnet file that says what the place is like (see examples/sites).
+    fail_on_idle
+        Exit code 1 also if a request was refused though its node stood idle.
     real
         Play over loopback sockets in real time; else in simulated time.
     trace
         Where to write what went over the sockets, as Parquet.
     """
+    _needs_lab()
+    from cressrock.lab.bound import bound
     from cressrock.lab.day import TROUBLES, Script, play
     from cressrock.lab.judge import judge
-    from cressrock.lab.report import as_json, as_text
+    from cressrock.lab.report import as_json, as_text, service_text
+    from cressrock.lab.service import serve as reckon
+    from cressrock.lab.site import load_site, usual
 
     names = [name for name, _ in TROUBLES]
     if day not in ("bad", "calm"):
@@ -329,13 +345,24 @@
         not 1 <= dispatchers <= 1000
         or not 1 <= nodes <= 1000
         or not 0 < rate <= 1e5
+        or not 0 <= load <= 100
         or not 1 <= seconds <= 86400
     ):
-        _stop(USAGE, "a day has 1 to 1000 dispatchers and nodes, a rate up to 100000 and 1 to 86400 seconds")
+        _stop(
+            USAGE,
+            "a day has 1 to 1000 dispatchers and nodes, a rate up to 100000, a load up to 100, 1 to 86400 s",
+        )
     if not 0 <= planners <= dispatchers:
         _stop(USAGE, "--planners: from 0 to the number of dispatchers")
     logs.configure("error")
+    try:
+        place = usual() if site is None else load_site(str(site))
+    except SettingsError as wrong:
+        _stop(BROKEN, str(wrong))
+        return
     script = Script(
+        site=place,
+        load=load,
         name=day,
         seed=seed,
         dispatchers=dispatchers,
@@ -353,9 +380,13 @@
             result.trace.write(str(trace))
         except OSError as wrong:
             _stop(UNAVAILABLE, f"{trace}: cannot be written: {wrong}")
-    found = judge(result.trace)
-    print(as_json(found, result) if json_output else as_text(found, result.trace, result))
-    if found.breaches or result.fences:
+    found, service, best = judge(result.trace), reckon(result.trace), bound(result.trace)
+    if json_output:
+        print(as_json(found, result, service, best))
+    else:
+        print(as_text(found, result.trace, result))
+        print(service_text(service, best))
+    if found.breaches or result.fences or (fail_on_idle and service.idle):
         raise SystemExit(BROKEN)
 
 
@@ -368,19 +399,73 @@
     trace
         A Parquet file that `lab day --trace` wrote.
     """
+    found_trace = _trace(trace)
     from cressrock.lab.judge import judge
-    from cressrock.lab.report import as_json, as_text
+    from cressrock.lab.report import as_json, as_text, service_text
+    from cressrock.lab.service import serve as reckon
+
+    found, service = judge(found_trace), reckon(found_trace)
+    if json_output:
+        print(as_json(found, None, service))
+    else:
+        print(as_text(found, found_trace, None))
+        print(service_text(service, None))
+    if found.breaches:
+        raise SystemExit(BROKEN)
+
+
+@lab.command(name="bound")
+def lab_bound(trace: Path, *, json_output: Annotated[bool, Parameter(name="--json")] = False) -> None:
+    """Reckon what the best possible schedule of a trace's day could have earned, and the share reached.
+
+    Parameters
+    ----------
+    trace
+        A Parquet file that `lab day --trace` wrote.
+    """
+    found_trace = _trace(trace)
+    from cressrock.lab.bound import bound
+    from cressrock.lab.report import service_json, service_text
+    from cressrock.lab.service import serve as reckon
+
+    try:
+        best = bound(found_trace)
+    except ValueError as wrong:
+        _stop(UNAVAILABLE, f"{trace}: {wrong}")
+        return
+    service = reckon(found_trace)
+    if json_output:
+        print(json.dumps(service_json(service, best), indent=2, sort_keys=True))
+    else:
+        print(
+            f"due {best.due:.1f}, best possible {best.best:.1f}, earned {best.earned:.1f}: {best.share:.3f}"
+        )
+        print(f"(a linear program of {best.wishes} wishes and {best.rows} constraints)")
+        print(service_text(service, best))
+
+
+def _trace(path: Path) -> Any:
+    """Read a trace, or stop with one line."""
+    _needs_lab()
     from cressrock.lab.trace import load as load_trace
 
     try:
-        found_trace = load_trace(str(trace))
+        found = load_trace(str(path))
     except ValueError as wrong:
         _stop(UNAVAILABLE, str(wrong))
-        return
-    found = judge(found_trace)
-    print(as_json(found, None) if json_output else as_text(found, found_trace, None))
-    if found.breaches:
-        raise SystemExit(BROKEN)
+        raise
+    if "machines" not in found.facts:
+        _stop(UNAVAILABLE, f"{path}: written by an older laboratory, which did not say what its site is like")
+    return found
+
+
+def _needs_lab() -> None:
+    """Stop with one line where the laboratory's libraries are not installed."""
+    from importlib.util import find_spec
+
+    missing = [name for name in LAB_LIBRARIES if find_spec(name) is None]
+    if missing:
+        _stop(UNAVAILABLE, f"this command needs {', '.join(missing)}: pip install 'cressrock[lab]'")
 
 
 @lab.command(name="fuzz")
@@ -391,6 +476,7 @@
     """
     import time
 
+    _needs_lab()
     from cressrock.lab.fuzz import fuzz_front, fuzz_parsers
 
     end, inputs, defects = time.monotonic() + seconds, 0, 0
@@ -420,6 +506,7 @@
     listen
         Where the node list is served.
     """
+    _needs_lab()
     from cressrock.lab.serve import open_hall
 
     logs.configure("warning")
--- a/cressrock/lab/bound.py
+++ b/cressrock/lab/bound.py
@@ -5,7 +5,7 @@
 - a wish is served in part, and in time or late; it earns that part of its worth;
 - a shard is a fluid: in any span of time, the work of the wishes whose whole life lies inside (from when
   they were sent until they had to be answered) is at most what the shard's node could do in it, with its
-  faults and its cold start.  Spans are taken on a grid of lengths that double, which leaves some out;
+  faults and its cold start.  Spans are taken on a grid, which leaves some out;
 - all a volume's wishes sent within a span take no more units than its limit allows in it;
 - a wish for data that another one asks for in the same time costs what a repeat costs; a span may leave as
   much work put off as a flush's time can;
@@ -29,7 +29,8 @@
 from cressrock.webdav.placement import home
 
 SHORTEST_MS = 50.0  # of the grid's spans
-STEP = 4  # spans of one length begin this often within it
+STEP = 4  # spans of one length begin this often within it; short ones as often again
+GROWTH = 1.2  # of one short length to the next; long ones double
 SIGMAS = 3.0
 
 
@@ -295,18 +296,21 @@
     lives = [(d.sent, d.in_time, i, d) for i, d in own] + [(d.sent, d.late, count + i, d) for i, d in own]
     first = min(begin for begin, _, _, _ in lives)
     last = max(end, max(over for _, over, _, _ in lives))
+    # As long as the shortest lives and a little more: that is where a burst shows.
+    least = max(SHORTEST_MS, min(over - begin for begin, over, _, _ in lives))
+    length = least
     found: dict[tuple[float, float], list[tuple[int, Demand]]] = defaultdict(list)
-    length = SHORTEST_MS
     while True:
-        step = length / STEP
+        fine = max(SHORTEST_MS / STEP, least / STEP**2)
+        step = fine if length < 2 * least else length / STEP
         for begin, over, column, demand in lives:
             if over - begin > length:
                 continue
-            low = max(0, math.ceil((over - length - first) / step))
-            for index in range(low, math.floor((begin - first) / step) + 1):
+            low = max(0, math.ceil((over - length - first) / step - 1e-9))
+            for index in range(low, math.floor((begin - first) / step + 1e-9) + 1):
                 at = first + index * step
                 found[at, at + length].append((column, demand))
         if length >= last - first:
             break
-        length *= 2
+        length *= GROWTH if length < 4 * least else 2
     return [(begin, over, inside) for (begin, over), inside in sorted(found.items())]
--- a/cressrock/lab/day.py
+++ b/cressrock/lab/day.py
@@ -232,6 +232,7 @@
             "writers": {v.name: self._writers(v) for v in self.volumes},
             "machines": {str(s): msgspec.to_builtins(site.machine(s)) for s in range(self.script.nodes)},
             "network": msgspec.to_builtins(site.network),
+            "budgets": {"planners": len(self.planners)},
             "budget": {
                 "window_ms": scheduler.budget_window_ms,
                 "free": scheduler.budget_free,
@@ -253,17 +254,21 @@
         }
 
     def _hosts_of_edges(self) -> dict[str, str]:
-        """Name the host under whose budget an edge sends; with several planners an edge may have had any."""
-        if len(self.planners) != 1:
+        """Name the host under whose budget an edge sends.
+
+        With several planners an edge may have had any, and each may have spent its whole budget at one edge:
+        only the sum of all shows on the sockets.
+        """
+        if not self.planners:
             return {}
-        return {d.name: self.planners[0].name for d in self.dispatchers}
+        host = self.planners[0].name if len(self.planners) == 1 else "planners"
+        return {d.name: host for d in self.dispatchers}
 
     def _births(self) -> dict[str, list[float]]:
-        """Return when each host's budget began anew; an edge's with each planner's life."""
+        """Return when each host's budget began anew; that of all planners with each one's life."""
         births = {p.name: p.born for p in self.planners}
         if len(self.planners) > 1:
-            every = sorted(t for p in self.planners for t in p.born)
-            births |= {d.name: sorted([*d.born, *every]) for d in self.dispatchers}
+            births["planners"] = sorted(t for p in self.planners for t in p.born)
         return births
 
     # --- the run
--- a/cressrock/lab/judge.py
+++ b/cressrock/lab/judge.py
@@ -351,7 +351,7 @@
         births: dict[str, list[float]] = self.facts.get("born", {})
         hosts: dict[str, str] = self.facts.get("hosts", {})
         for row in self.rows:
-            who = hosts.get(row.dispatcher, row.dispatcher)  # edges of a planner count as one
+            who = hosts.get(row.dispatcher, row.dispatcher)  # edges of planners count as one
             if row.side == "client" and row.what == "sent":
                 taken[who].extend(self._taken(row))
             elif row.side == "node" and row.what == "came" and row.attempt > 0:
@@ -364,7 +364,8 @@
                 taken[who] = [t for t in taken[who] if t >= begin]
                 since = max(born, row.t_ms - window)
                 count = sum(t > since + 2 * self.way for t in extra[who])
-                allowed = float(budget["free"]) + float(budget["share"]) * len(taken[who])
+                free = float(budget["free"]) * self.facts.get("budgets", {}).get(who, 1)
+                allowed = free + float(budget["share"]) * len(taken[who])
                 if count > allowed:
                     text = f"{who}: {count} further attempts, {allowed:.1f} allowed"
                     self._breach(6, row.t_ms, row.request, text)
--- a/cressrock/lab/report.py
+++ b/cressrock/lab/report.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from cressrock.lab.judge import RULES, Judgement, first_breaches, windows
+from cressrock.lab.service import Service, Worth
 from cressrock.lab.trace import Trace
 
 if TYPE_CHECKING:
+    from cressrock.lab.bound import Bound
     from cressrock.lab.day import Result
 
 BAR = 40
@@ -53,8 +55,69 @@
     return "\n".join(lines)
 
 
-def as_json(found: Judgement, result: Result | None) -> str:
-    """Write the verdict as JSON: rules, breaches, figures, fences."""
+def service_text(service: Service, bound: Bound | None) -> str:
+    """Write what was served beside what could have been, the nodes' use, and what stood in the way."""
+    total = service.total
+    lines = [
+        "",
+        f"{total.wishes} wishes: {_part(total.in_time, total.wishes)} in time, "
+        f"{_part(total.late, total.wishes)} late; worth {_part(total.earned, total.due)} of what was due"
+        + (f", {bound.share:.3f} of the best possible" if bound is not None else ""),
+    ]
+    for title, table, best in (
+        ("class", service.classes, bound.classes if bound is not None else {}),
+        ("plan", service.plans, bound.plans if bound is not None else {}),
+    ):
+        for name, worth in sorted(table.items()):
+            earned, reached = best.get(name, (0.0, 0.0))
+            share = f"  {earned / reached:.3f} of the best schedule's" if reached > 1e-9 else ""
+            lines.append(f"  {title:5} {name:14} {worth.wishes:7} wishes {_row(worth)}{share}")
+    used = ", ".join(
+        f"{shard}: {part:.2f} ({service.useful[shard]:.2f} in time)"
+        for shard, part in sorted(service.used.items())
+    )
+    lines.append(f"used part of each shard's capacity  {used}")
+    why = ", ".join(f"{hindrance.value} {count}" for hindrance, count in service.why().items())
+    lines.append(f"denied  {why or 'nothing'}")
+    for denied in service.idle[:5]:
+        lines.append(
+            f"  idle refusal at {denied.t_ms / 1000:.3f} s: {denied.request} {denied.method} of "
+            f"{denied.volume}, shard {denied.shard} had nothing out for "
+            f"{denied.idle_ms:.0f} ms while it waited"
+        )
+    return "\n".join(lines)
+
+
+def _part(some: float, of: float) -> str:
+    return f"{some / of:.3f}" if of else "-"
+
+
+def _row(worth: Worth) -> str:
+    return f"{_part(worth.in_time, worth.wishes)} in time, worth {_part(worth.earned, worth.due)}"
+
+
+def service_json(service: Service, bound: Bound | None) -> dict[str, Any]:
+    """Return the same for programs."""
+
+    def one(worth: Worth) -> dict[str, float]:
+        return {name: getattr(worth, name) for name in ("wishes", "in_time", "late", "due", "earned")}
+
+    return {
+        "total": one(service.total),
+        "classes": {name: one(worth) for name, worth in service.classes.items()},
+        "plans": {name: one(worth) for name, worth in service.plans.items()},
+        "used": {str(shard): part for shard, part in service.used.items()},
+        "useful": {str(shard): part for shard, part in service.useful.items()},
+        "denied": {hindrance.name.lower(): count for hindrance, count in service.why().items()},
+        "idle_refusals": len(service.idle),
+        "bound": None if bound is None else {"best": bound.best, "share": bound.share},
+    }
+
+
+def as_json(
+    found: Judgement, result: Result | None, service: Service | None = None, bound: Bound | None = None
+) -> str:
+    """Write the verdict as JSON: rules, breaches, figures, fences, service."""
     value = {
         "rules": {str(r): "kept" if found.kept(r) else "broken" for r in RULES},
         "looked_at": {str(r): n for r, n in found.looked_at.items()},
@@ -64,5 +127,6 @@
         ],
         "figures": {k: round(v, 3) for k, v in found.figures.items()},
         "fences": result.fences if result is not None else None,
+        "service": service_json(service, bound) if service is not None else None,
     }
     return json.dumps(value, indent=2, sort_keys=True)
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -3,8 +3,6 @@
 Each broken part is the real one with one eye shut: a figure that it is not told, or a fence taken away.
 """
 
-import os
-from concurrent.futures import ProcessPoolExecutor
 from dataclasses import replace
 from functools import partial
 
@@ -141,7 +139,7 @@
 
 
 BROKEN = {
-    1: (Parts(driver=Forgetful, ledger=NoFences), {"troubles": ("slow",)}),
+    1: (Parts(driver=Forgetful, ledger=NoFences), {"troubles": ("slow",), "rate": 160.0}),
     2: (Parts(driver=Hasty, ledger=NoFences), {"troubles": ("none",)}),
     3: (Parts(decisions=deaf, ledger=NoFences), {"troubles": ("drain",), "length_ms": 30000}),
     4: (Parts(decisions=headlong), {"troubles": ("replace",), "rate": 150.0, "nodes": 3}),
@@ -160,7 +158,7 @@
         script = Script(**({"seed": 3, "length_ms": 20000} | changes))
         yield f"broken {rule}", script, parts
         yield f"sound {rule}", script, Parts()
-    hung = Script(seed=3, length_ms=20000, troubles=("hung",))
+    hung = Script(seed=3, length_ms=20000, troubles=("hung", "lost"), rate=120.0)
     yield "refuser trusted", hung, Parts(decisions=refuser, ledger=Trusting)
     yield "refuser fenced", hung, Parts(decisions=refuser)
     for name in ("bad", "bad again"):
@@ -170,37 +168,45 @@
 
 
 def day(script, parts):
-    """Play and judge in a process of its own; simulated days do not care how many run at once."""
+    """Play and judge."""
     result = play(script, parts=parts)
     return judge(result.trace), result
 
 
+class Days(dict):
+    """Plays a day when a test first asks for it: tests run in processes of their own."""
+
+    def __missing__(self, name):
+        script, parts = next((s, p) for n, s, p in scripts() if n == name)
+        self[name] = day(script, parts)
+        return self[name]
+
+
 @pytest.fixture(scope="module")
 def days():
-    with ProcessPoolExecutor(max_workers=min(8, os.cpu_count() or 1)) as pool:
-        yield {name: pool.submit(day, script, parts) for name, script, parts in scripts()}
+    return Days()
 
 
 @pytest.mark.parametrize("rule", BROKEN)
 def test_each_rule_is_found_broken_in_a_driver_that_is_broken_for_it(days, rule):
-    broken, _ = days[f"broken {rule}"].result()
+    broken, _ = days[f"broken {rule}"]
     assert not broken.kept(rule)
-    sound, _ = days[f"sound {rule}"].result()
+    sound, _ = days[f"sound {rule}"]
     assert sound.kept(rule), sound.breaches[:3]
     assert sound.looked_at[rule]
 
 
 def test_a_refusal_of_what_may_have_run_is_found_and_the_ledger_would_stop_it(days):
-    broken, _ = days["refuser trusted"].result()
+    broken, _ = days["refuser trusted"]
     assert any("refused, though" in b.what for b in broken.breaches)
-    fenced, result = days["refuser fenced"].result()
+    fenced, result = days["refuser fenced"]
     assert result.fences["rule2-refusal-not-provable"] > 0
     assert fenced.kept(2)
 
 
 def test_the_bad_day_keeps_all_rules_and_one_seed_gives_one_trace(days, tmp_path):
-    found, first = days["bad"].result()
-    _, second = days["bad again"].result()
+    found, first = days["bad"]
+    _, second = days["bad again"]
     assert not found.breaches and not first.fences
     assert all(found.looked_at[rule] for rule in (1, 2, 3, 4, 5, 6, 7))
     assert first.trace.rows == second.trace.rows
@@ -213,5 +219,5 @@
 
 @pytest.mark.parametrize("seed", [11, 12])
 def test_many_dispatchers_keep_all_rules(days, seed):
-    found, result = days[f"many {seed}"].result()
+    found, result = days[f"many {seed}"]
     assert not found.breaches and not result.fences
