--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -1,7 +1,7 @@
 """Calm and overloaded days at every site: what is served, used and reached of the best possible.
 
     python benchmarks/sites.py --loads 0.15 0.45 0.8 --seeds 5 --seconds 6
-    python benchmarks/sites.py --loads 1.6 3 --seeds 2 --brain /tmp/former_brain.py   # another module beside it
+    python benchmarks/sites.py --loads 1.6 3 --seeds 2 --brain FILE   # another module beside it
 
 Simulated time: one seed gives one day.  A day is a site, a load of its busiest shard, and who decides:
 3 or 50 hosts by themselves, or the edges of 1 or of 8 planners.
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -237,3 +237,15 @@
     assert code == 0 and "best possible" in out
     code, _, err = run("bound", str(bad))
     assert code == 3 and "not a readable trace" in err
+
+
+def test_without_the_laboratorys_libraries_one_line_names_the_extra(monkeypatch, capsys):
+    from cressrock.cli import main
+
+    monkeypatch.setattr(main, "LAB_LIBRARIES", ("pyarrow", "no_such_library"))
+    with pytest.raises(SystemExit) as stopped:
+        main.lab_serve()
+    assert stopped.value.code == main.UNAVAILABLE
+    assert capsys.readouterr().err == (
+        "cressrock: this command needs no_such_library: pip install 'cressrock[lab]'\n"
+    )
