A test of D outlives an attempt that ends unanswered; requests of no units teach as well

Cause: a client that left while D was put back for its test left D at one for good; units of zero divided by zero. Change: only a full queue or a node on trial ends a test early; no slope is learnt without units.

--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -414,7 +414,7 @@
             if node.line is not None and node.line.up_since_ms != line.up_since_ms:
                 # A restarted process has forgotten its jam: its trial ends, D starts low.
                 node.closed_until, node.backoff, node.depth = 0.0, 0.0, 1.0
-                node.seen = 0.0
+                node.seen = node.wide = 0.0
             node.line = line
         self._assign()
 
@@ -479,8 +479,8 @@
                 node.depth = min(WIDEST, node.depth + WIDEN * min(node.depth, 1 / node.depth))
         if answered:
             return
-        node.wide = 0.0
         if outcome is Outcome.FULL:
+            node.wide = 0.0
             # Danger: hundreds of hosts that each knock again after a moment keep a full queue full.
             node.depth = max(min(1.0, node.depth), node.depth / 2)
             node.backoff = min(max(2 * node.backoff, node.lag, BEAT * PERIOD_MS), 4 * self.aim)
@@ -492,6 +492,7 @@
             # while the node answers later attempts only means that the request was sent too late.
             if not node.backoff:
                 self._log(f"node {node.line.name}: {outcome.value}, now on trial")
+            node.wide = 0.0
             node.depth = 1.0  # the rests alone hold back: a lost answer must not throttle a sound node
             node.backoff = min(max(2 * node.backoff, PERIOD_MS), 4 * self.aim)
             node.closed_until = now + node.backoff
@@ -534,6 +535,8 @@
             # Danger: a base too low, of repeats or chance, would keep D narrow; risen under the own queue it
             # would widen D for ever.  So D above one is put back, for a few answers, now and then.
             node.wide, node.depth, node.trial_at, node.alone = node.depth, 1.0, self.now, []
+        if not node.units:
+            return
         # Few answers are read as a cost that is all by units; nothing costs less than nothing.
         share, doubt = node.base / node.units, (weight * node.units) ** 2
         node.slope = min(share, max(0.0, (node.cov + doubt * share) / (node.var + doubt)))
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -624,3 +624,24 @@
     brain.act(0.0, [Arrival(f"late{i}", "v", "", 1.0, 1500.0, 0, 0, 0, 1, 400.0) for i in range(6)])
     assert len(brain.nodes["a"].out) == 3
     assert sent(brain.act(1.0, [ask("in time")])) == ["in time"]
+
+
+def test_a_test_of_d_outlives_an_attempt_that_ends_unanswered_and_ends_with_a_full_queue():
+    """Danger: one client that leaves while D is put back would leave it at one for good."""
+    for outcome, kept in ((Outcome.CANCELLED, True), (Outcome.FULL, False)):
+        brain = host(depth=8.0)
+        node = brain.nodes["a"]
+        brain.act(0.0, [ask("first")])
+        node.trial_at = 0.0
+        brain.act(20.0, [done("first", lag=20.0)])
+        assert node.depth == 1.0 and node.wide == 8.0
+        brain.act(21.0, [ask("second")])
+        brain.act(22.0, [Ended("second", 0, outcome, False, 1.0)])
+        assert bool(node.wide) is kept
+
+
+def test_requests_that_count_no_units_teach_as_well():
+    brain = host()
+    for step in range(5):
+        node = answer(brain, 100.0 * step, f"r{step}", 20.0, units=0.0)
+    assert node.base == pytest.approx(20.0) and node.slope == 0.0
