A reader that has enough ends a command without a stack trace

Cause: cressrock check FILE | head ended in BrokenPipeError. Change: main() takes it as an orderly end. Result: a test that closes the pipe.

--- a/cressrock/cli/main.py
+++ b/cressrock/cli/main.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 import sys
 from importlib.metadata import PackageNotFoundError, version
@@ -530,4 +531,9 @@
 
 def main() -> None:
     """Run the command line."""
-    app()
+    try:
+        app()
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # Whoever read the output has enough of it (`| head`): no trace, and nothing more at the exit.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -223,3 +223,10 @@
     finally:
         process.kill()
         process.communicate()
+
+
+def test_a_reader_that_has_enough_ends_a_command_without_a_trace():
+    command = [sys.executable, "-m", "cressrock", "check", "examples/gateway.jsonnet"]
+    with subprocess.Popen(command, stdout=subprocess.PIPE, stderr=subprocess.PIPE) as run:
+        run.stdout.close()
+        assert run.stderr.read() == b""
