--- a/benchmarks/sites.py
+++ b/benchmarks/sites.py
@@ -71,8 +71,10 @@
         for who in given.who
         for seed in range(1, given.seeds + 1)
     ]
-    print("| load | site | who decides | wishes | served | in time | of the best "
-          "| used (in time) | idle | limit |")
+    print(
+        "| load | site | who decides | wishes | served | in time | of the best "
+        "| used (in time) | idle | limit |"
+    )
     print("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
     broken = 0
     with ProcessPoolExecutor(os.cpu_count()) as pool:
