--- a/benchmarks/bad_day.py
+++ b/benchmarks/bad_day.py
@@ -48,8 +48,8 @@
         for seed in range(1, options.seeds + 1)
     ]
     print(
-        f"{options.dispatchers} dispatchers, {options.planners} planners, {options.nodes} nodes, {options.rate:g} requests a second "
-        f"before surges, 60 s simulated, seeds 1 to {options.seeds}\n"
+        f"{options.dispatchers} dispatchers, {options.planners} planners, {options.nodes} nodes, "
+        f"{options.rate:g} requests a second before surges, 60 s simulated, seeds 1 to {options.seeds}\n"
     )
     names = ["seed", *FIGURES, "cold, of bound", "of the best", "idle", "rules broken", "fences"]
     print("| " + " | ".join(names) + " |\n|" + " --- |" * len(names))
