Settings and sites are checked by one function

Cause: the conversion and its errors stood twice, in settings/load and lab/site. Change: checked(path, value, type).

--- a/cressrock/lab/site.py
+++ b/cressrock/lab/site.py
@@ -12,7 +12,7 @@
 from msgspec import Meta, Struct, field
 
 from cressrock.lab import model
-from cressrock.settings.load import SettingsError, evaluate, evaluate_text, explain
+from cressrock.settings.load import checked, evaluate, evaluate_text
 from cressrock.settings.types import (
     METHODS,
     Class,
@@ -218,12 +218,7 @@
 
 def convert_site(path: str, value: Any) -> Site:
     """Check an evaluated site.  Raises SettingsError."""
-    try:
-        return msgspec.convert(value, Site)
-    except msgspec.ValidationError as wrong:
-        raise SettingsError(explain(path, str(wrong), value)) from None
-    except ValueError as wrong:
-        raise SettingsError(f"{path}: {wrong}") from None
+    return checked(path, value, Site)
 
 
 def usual() -> Site:
--- a/cressrock/settings/load.py
+++ b/cressrock/settings/load.py
@@ -5,7 +5,7 @@
 import json
 import re
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 import rjsonnet
@@ -58,12 +58,20 @@
     return json.loads(found)
 
 
+Kind = TypeVar("Kind")
+
+
 def convert(path: str, value: Any) -> Gateway:
     """Check evaluated settings.  Raises SettingsError."""
+    return checked(path, value, Gateway)
+
+
+def checked(path: str, value: Any, kind: type[Kind]) -> Kind:
+    """Turn an evaluated file into a checked value of a type.  Raises SettingsError naming file and place."""
     try:
-        return msgspec.convert(value, Gateway)
+        return msgspec.convert(value, kind)
     except msgspec.ValidationError as wrong:
-        raise SettingsError(explain(path, str(wrong), value)) from None
+        raise SettingsError(_explain(path, str(wrong), value)) from None
     except ValueError as wrong:
         raise SettingsError(f"{path}: {wrong}") from None
 
@@ -73,7 +81,7 @@
     return convert(path, evaluate(path, variables))
 
 
-def explain(path: str, text: str, value: Any) -> str:
+def _explain(path: str, text: str, value: Any) -> str:
     """Say where, what stands there, and what would be right."""
     match = re.search(r" - at `(?:key in )?\$?([^`]*)`$", text)
     if match is None:
