cressrock platform: the dispatcher speaks RESP2 on the operators' platform

Change: the driver is freed of HTTP by a transport protocol (dispatch/transport.py): exchange one attempt, report its outcome, value and use figures once. The birth shift by RESTART_MS, the memory of keys over several operations and a default time in refusals stay with WebDAV: here a client's key belongs to one request.

--- a/cressrock/__main__.py
+++ b/cressrock/__main__.py
@@ -1,6 +1,6 @@
 """python -m cressrock."""
 
-from cressrock.cli.main import main
+from cressrock.cli.start import main
 
 if __name__ == "__main__":
     main()
--- a/cressrock/dispatch/operation.py
+++ b/cressrock/dispatch/operation.py
@@ -1,4 +1,4 @@
-"""A storage operation as the fronts name it, and what comes back: the seam between front and dispatch.
+"""A storage operation over HTTP as the fronts name it, and what comes back: the seam to dispatch.
 
 Nothing here, nor below, knows by which front an operation came.
 """
@@ -8,8 +8,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from cressrock.dispatch.ledger import Verdict
-from cressrock.dispatch.reasons import Reason
+from cressrock.dispatch.transport import Denied
 from cressrock.http.channel import Headers
 
 
@@ -72,13 +71,4 @@
     payload: Body | None = None
 
 
-@dataclass(frozen=True, slots=True)
-class Denied:
-    """No answer of a node: a refusal (a retry is harmless) or a failure (nothing is promised)."""
-
-    verdict: Verdict
-    reason: Reason
-    retry_after_ms: float = 0.0
-
-
 Result = Reply | Denied
--- /dev/null
+++ b/cressrock/dispatch/tasks.py
@@ -0,0 +1,234 @@
+"""The driver as fronts built on tasks use it: `run` is its loop, `perform` waits for one answer.
+
+Attempts go to the nodes over HTTP, a task for each.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import anyio
+import h11
+from anyio.abc import TaskGroup
+from anyio.lowlevel import checkpoint
+
+from cressrock.dispatch.answers import load_of, outcome_of
+from cressrock.dispatch.driver import FOREVER, Decisions, Driver, Observer
+from cressrock.dispatch.keys import KeyMemory
+from cressrock.dispatch.ledger import Ledger
+from cressrock.dispatch.nodeclient import NoConnection, NodeClient, NodePayload, Progress, TooLarge
+from cressrock.dispatch.operation import Cut, Operation, Reply, Result
+from cressrock.dispatch.transport import Call, Ending
+from cressrock.http.channel import Gone, Headers
+from cressrock.interface import Outcome, RequestClass
+
+
+class _HttpFlight:
+    """An attempt's task."""
+
+    def __init__(self, call: Call) -> None:
+        self.call = call
+        self.scope = anyio.CancelScope(deadline=call.deadline / 1000)
+        self.ordered_off = False
+        self.reported = False
+
+    def stop(self) -> None:
+        self.ordered_off = True
+        self.scope.cancel()
+
+    def report(self, ending: Ending) -> None:
+        self.reported = True
+        self.call.end(ending)
+
+
+class HttpTransport:
+    """Carries attempts over HTTP/1.1; `tasks` has to be set before the first."""
+
+    def __init__(self, nodes: NodeClient, reader_patience_ms: float, clock: Callable[[], float]) -> None:
+        """`reader_patience_ms` is how long a streamed answer waits for its reader before it loses its slot."""
+        self.nodes = nodes
+        self.reader_patience_ms = reader_patience_ms
+        self.clock = clock
+        self.tasks: TaskGroup | None = None
+
+    def start(self, call: Call) -> _HttpFlight:
+        """Begin an attempt."""
+        assert self.tasks is not None
+        flight = _HttpFlight(call)
+        self.tasks.start_soon(self._attempt, flight)
+        return flight
+
+    async def _attempt(self, flight: _HttpFlight) -> None:
+        """Carry one attempt to its outcome; whatever happens, exactly one outcome is reported."""
+        call, scope = flight.call, flight.scope
+        op: Operation = call.op
+        attempt = call.attempt
+        node = attempt.node.name
+        progress = Progress()
+        outcome, text = Outcome.CANCELLED, ""
+        reply: Reply | None = None
+        lag: float | None = None
+        payload: NodePayload | None = None
+        try:
+            with scope:
+                trace: Headers = [
+                    (b"x-request-id", f"{call.label};{attempt.number}".encode()),
+                    (b"cressrock-units", f"{op.units:g}".encode()),
+                ]
+                if op.idempotency_key:
+                    trace.append((b"idempotency-key", op.idempotency_key.encode()))
+                reply, payload = await self.nodes.exchange(node, op, trace, progress, may_stream=op.stream)
+                lag = self.clock() - attempt.sent_at
+                outcome = outcome_of(reply.status, reply.headers)
+                if payload is not None and call.begin(reply):
+                    scope.deadline = FOREVER  # a started stream has no deadline of its class
+                    if await self._read_out(payload):
+                        if payload.cut:
+                            outcome, text = Outcome.RESET, "cut in mid-answer"
+                        elif not payload.finished:
+                            outcome, text = Outcome.CANCELLED, "the client stopped reading"
+                    else:
+                        # Danger: a few clients that read slowly would hold every slot of a node.  The
+                        # node did its part; the rest of the way is between this client and us.
+                        flight.report(_ending(outcome, lag, progress, reply, "slow reader"))
+                        await payload.done.wait()
+        except NoConnection as failed:
+            outcome, text = Outcome.NO_CONNECTION, str(failed)
+        except Gone as failed:
+            outcome, text = Outcome.RESET, str(failed)
+        except (h11.RemoteProtocolError, TooLarge) as failed:
+            outcome, text = Outcome.ERROR, str(failed)
+        except Cut as failed:
+            outcome, text = Outcome.CANCELLED, str(failed)
+        finally:
+            # Also under cancellation from outside: the ledger must never keep an attempt without outcome.
+            if scope.cancelled_caught:
+                outcome, text = _stopped(flight.ordered_off, progress)
+            if payload is not None:
+                with anyio.CancelScope(shield=True):
+                    await self.nodes.finish(node, payload)
+            if not flight.reported:
+                if lag is None:
+                    lag = self.clock() - attempt.sent_at
+                flight.report(_ending(outcome, lag, progress, reply, text))
+
+    async def _read_out(self, payload: NodePayload) -> bool:
+        """Wait until a payload is read out or given up; False once its reader holds it up."""
+        while not payload.done.is_set():
+            with anyio.move_on_after(self.reader_patience_ms / 1000):
+                await payload.done.wait()
+                return True
+            since = payload.idle_since
+            if since is not None and (anyio.current_time() - since) * 1000 >= self.reader_patience_ms:
+                return False
+        return True
+
+
+def _ending(outcome: Outcome, lag: float, progress: Progress, reply: Reply | None, text: str) -> Ending:
+    used, elsewhere = load_of(progress.headers) if progress.headers else (0, 0.0)
+    return Ending(outcome, lag, reply, used, elsewhere, text)
+
+
+def _stopped(ordered: bool, progress: Progress) -> tuple[Outcome, str]:
+    """Name what a stopped attempt was: without a byte handed over it provably never ran."""
+    if not progress.sent:
+        return (Outcome.MOOT, "cancelled unsent") if ordered else (Outcome.NO_CONNECTION, "no connection")
+    return (Outcome.CANCELLED, "cancelled") if ordered else (Outcome.TIMEOUT, "no answer in time")
+
+
+class TaskDriver(Driver):
+    """One dispatcher's driver over HTTP; `run` has to be started in a task group, ends by cancellation."""
+
+    def __init__(
+        self,
+        decisions: Decisions,
+        ledger: Ledger,
+        nodes: NodeClient,
+        classes: tuple[RequestClass, ...],
+        observer: Observer,
+        *,
+        retry_after_ms: float,
+        keys: KeyMemory | None = None,
+        reader_patience_ms: float = FOREVER,
+        subscribe: Callable[[], None] = lambda: None,
+        clock: Callable[[], float] | None = None,
+    ) -> None:
+        """`clock` gives monotonic milliseconds; anyio's own clock if absent."""
+        clock = clock or (lambda: anyio.current_time() * 1000)
+        self.http = HttpTransport(nodes, reader_patience_ms, clock)
+        super().__init__(
+            decisions,
+            ledger,
+            self.http,
+            classes,
+            observer,
+            clock=clock,
+            retry_after_ms=retry_after_ms,
+            keys=keys or KeyMemory(keep_ms=60000.0, most=100000),
+            subscribe=subscribe,
+            wake=lambda: self._news.set(),
+        )
+        self._news = anyio.Event()
+        self._earlier = anyio.Event()
+        self._rings_at = FOREVER
+
+    async def perform(
+        self,
+        exchange: str,
+        number: int,
+        op: Operation,
+        deadline: float,
+        label: str = "",
+        since: float | None = None,
+    ) -> Result:
+        """Take an operation and return its one final answer.
+
+        Cancelling this call says that the client has left.
+        """
+        name = f"{exchange}.{number}"
+        ready = anyio.Event()
+        results: list[Result] = []
+
+        def answer(result: Result) -> None:
+            results.append(result)
+            ready.set()
+
+        denied = self.take(name, exchange, op, deadline, answer, f"{label or exchange};{number}", since)
+        if denied is not None:
+            return denied
+        try:
+            await ready.wait()
+        except anyio.get_cancelled_exc_class():
+            if not self.left(name) and results:
+                result = results[0]
+                if isinstance(result, Reply) and result.stream is not None:
+                    result.stream.abandon()
+            raise
+        return results[0]
+
+    async def run(self) -> None:
+        """Serve until cancelled; owns a task for each attempt."""
+        async with anyio.create_task_group() as tasks:
+            self.http.tasks = tasks
+            tasks.start_soon(self._ring)
+            while True:
+                await self._news.wait()
+                await checkpoint()  # what else comes in the same instant joins the batch
+                self._news = anyio.Event()
+                self.turn()
+                due = self.due()
+                if due < self._rings_at:
+                    self._rings_at = due
+                    self._earlier.set()
+
+    async def _ring(self) -> None:
+        """Wake the loop when the next timer falls due; set anew only for an earlier one."""
+        while True:
+            self._earlier = anyio.Event()
+            # A timer falls due in the first batch at or after its time, never before it: a microsecond more
+            # keeps the rounding of two units of time from waking the loop too early, for ever.
+            with anyio.move_on_at(self._rings_at / 1000 + 1e-6):
+                await self._earlier.wait()
+                continue
+            self._rings_at = FOREVER
+            self._news.set()
--- /dev/null
+++ b/cressrock/dispatch/transport.py
@@ -0,0 +1,111 @@
+"""The seam between the driver and what carries attempts to nodes: exchange one attempt for its outcome.
+
+Nothing here knows a protocol.  A transport starts an attempt when it is told to, reports that it ended
+exactly once, and picks no node; the driver takes no byte in hand.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from cressrock.dispatch.ledger import Attempt, Verdict
+from cressrock.dispatch.reasons import Reason
+from cressrock.interface import Outcome
+
+
+class Work(Protocol):
+    """What the scheduler has to know of one request to one shard, however its bytes look."""
+
+    @property
+    def volume(self) -> str:
+        """The volume that its units are booked to."""
+
+    @property
+    def key(self) -> str:
+        """The data that it touches."""
+
+    @property
+    def shard(self) -> int:
+        """The shard that holds the data; -1: a new object."""
+
+    @property
+    def request_class(self) -> int:
+        """Its class, by number."""
+
+    @property
+    def units(self) -> float:
+        """Its size."""
+
+    @property
+    def plan(self) -> int:
+        """The volume's plan, by number."""
+
+    @property
+    def writers(self) -> int:
+        """The dispatchers that the volume's requests come through."""
+
+    @property
+    def idempotency_key(self) -> str:
+        """Under which nodes drop a repeat; empty: none."""
+
+
+@dataclass(frozen=True, slots=True)
+class Denied:
+    """No answer of a node: a refusal (a retry is harmless) or a failure (nothing is promised)."""
+
+    verdict: Verdict
+    reason: Reason
+    retry_after_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """How an attempt ended.  `used` and `elsewhere` are what the node told of the volume, 0 if nothing."""
+
+    outcome: Outcome
+    lag_ms: float
+    reply: Any = None  # the node's answer, in the transport's own form; with OK alone
+    used: int = 0
+    elsewhere: float = 0.0
+    text: str = ""  # for the log
+
+
+class Call(Protocol):
+    """One attempt, as the driver hands it over."""
+
+    @property
+    def op(self) -> Any:
+        """The request, in the transport's own form."""
+
+    @property
+    def label(self) -> str:
+        """Names the client's request in what goes to the nodes, for logs and traces only."""
+
+    @property
+    def attempt(self) -> Attempt:
+        """The ledger's entry: number, node, time of sending."""
+
+    @property
+    def deadline(self) -> float:
+        """When the transport stops waiting, in milliseconds on the driver's clock."""
+
+    def begin(self, reply: Any) -> bool:
+        """Hand on an answer whose payload still comes in; False: the request was over before."""
+
+    def end(self, ending: Ending) -> None:
+        """Report the outcome; has to be called once."""
+
+
+class Flight(Protocol):
+    """An attempt under way."""
+
+    def stop(self) -> None:
+        """Give the attempt up; its outcome still has to be reported, MOOT where nothing was handed over."""
+
+
+class Transport(Protocol):
+    """What carries attempts."""
+
+    def start(self, call: Call) -> Flight:
+        """Begin an attempt.  `call.end` may be called before this returns."""
--- a/cressrock/gateway.py
+++ b/cressrock/gateway.py
@@ -17,12 +17,13 @@
 
 from cressrock import net
 from cressrock.brain import RESTART_MS, Brain
-from cressrock.dispatch.driver import Decisions, Driver
+from cressrock.dispatch.driver import Decisions
 from cressrock.dispatch.keys import KeyMemory
 from cressrock.dispatch.ledger import Ledger
 from cressrock.dispatch.nodeclient import Connect, NodeClient
 from cressrock.dispatch.nodelist import ListState
 from cressrock.dispatch.spool import Store
+from cressrock.dispatch.tasks import TaskDriver
 from cressrock.dispatch.watch import Watch
 from cressrock.edge.carrier import PlannerLink
 from cressrock.edge.core import EdgeDecisions
@@ -82,7 +83,7 @@
 
     decisions: Callable[[Settings, int, float], Decisions] = scheduler
     ledger: type[Ledger] = Ledger
-    driver: type[Driver] = Driver
+    driver: type[TaskDriver] = TaskDriver
 
 
 class Gateway:
@@ -101,7 +102,7 @@
         self.nodes = NodeClient(world.connect, settings.nodes, user_agent=f"cressrock/{settings.name}")
         self.server: Server | None = None
         self.front: Front | None = None
-        self.driver: Driver | None = None
+        self.driver: TaskDriver | None = None
         self.watch: Watch | None = None
         self.store = Store(
             memory_bytes=settings.payloads.memory_bytes,
@@ -161,7 +162,7 @@
         away = Away(pair.answer_margin_ms, pair.retry_least_ms, pair.retry_most_ms)
         return EdgeDecisions(ledger, away, random.Random(source.getrandbits(62)))
 
-    def _planner_link(self, edge: EdgeDecisions, driver: Driver, source: random.Random) -> PlannerLink:
+    def _planner_link(self, edge: EdgeDecisions, driver: TaskDriver, source: random.Random) -> PlannerLink:
         pair = self.settings.pair
         jitter = random.Random(source.getrandbits(62))
         return PlannerLink(
--- /dev/null
+++ b/cressrock/platform/program.py
@@ -0,0 +1,264 @@
+"""The dispatcher as the platform starts it: configuration, parts, signals.
+
+It listens on the address that it was given, on nothing else, and ends on SIGTERM once it owes nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import random
+import signal
+import sys
+import time
+from collections import Counter
+
+import anyio
+
+from cressrock.brain import Brain
+from cressrock.dispatch.driver import Driver
+from cressrock.dispatch.ledger import Attempt, Ledger, Tripped, Verdict
+from cressrock.dispatch.reasons import Reason
+from cressrock.interface import NodeList, Outcome
+from cressrock.platform.config import Config, ConfigError, parse
+from cressrock.platform.serverlist import ListError, ServerList
+from cressrock.platform.turns import Turns
+from cressrock.platform.watch import Watch
+from cressrock.resp.front import Front, FrontBounds
+from cressrock.resp.nodes import PoolBounds, RespTransport
+from cressrock.resp.request import Reader
+
+SPARE = 32  # descriptors for the listener, discovery, the event loop and the standard streams
+CLIENTS = 0.55  # of the others: the platform's clients hold a third of all, the rest is for silent peers
+NEW_MS = 500.0  # after SIGTERM new connections keep coming for so long
+LAST_MS = 4500.0  # after SIGTERM nothing can be owed any more: the longest deadline and its slack are over
+REPORT_MS = 5000.0  # between two lines on the state
+LOG_LINES = 400  # of a kind, in a life
+
+
+def clock() -> float:
+    """Return monotonic milliseconds, by the standard library's clock."""
+    return time.monotonic() * 1000
+
+
+def wall_ms() -> float:
+    """Return Unix milliseconds."""
+    return time.time() * 1000
+
+
+class Log:
+    """Lines for the on-call staff on standard error, bounded in number by their kind."""
+
+    def __init__(self, name: str) -> None:
+        """`name` is the dispatcher's."""
+        self.name = name
+        self.lines: Counter[str] = Counter()
+
+    def __call__(self, text: str, kind: str = "event") -> None:
+        """Write a line."""
+        self.lines[kind] += 1
+        if self.lines[kind] <= LOG_LINES:
+            print(f"{wall_ms():.0f} {self.name} {kind}: {text}", file=sys.stderr, flush=True)
+
+
+class Observer:
+    """Counts what the driver did."""
+
+    def __init__(self, log: Log) -> None:
+        """Start with nothing counted."""
+        self.log = log
+        self.outcomes: Counter[str] = Counter()
+        self.answers: Counter[str] = Counter()
+        self.events = 0
+        self.act_ms = 0.0
+        self.longest_act_ms = 0.0
+        self.late_ms = 0.0
+
+    def tripped(self, trip: Tripped) -> None:
+        """Log a fence; each is a defect of what gave the order."""
+        self.log(f"{trip.fence.value} {trip.operation}: {trip.detail}", "fence")
+
+    def attempt_ended(self, attempt: Attempt, outcome: Outcome, lag_ms: float, text: str) -> None:
+        """Count an outcome; the text of one that is no answer is logged."""
+        self.outcomes[outcome.value] += 1
+        if text:
+            self.log(f"{attempt.node.name} {outcome.value} after {lag_ms:.0f} ms: {text}", "attempt")
+
+    def answered(self, request_class: int, verdict: Verdict, reason: Reason | None, ms: float) -> None:
+        """Count a final answer."""
+        self.answers[f"{request_class}:{verdict.value}"] += 1
+
+    def woke(self, events: int, late_ms: float, act_ms: float) -> None:
+        """Measure a batch."""
+        self.events += events
+        self.act_ms += act_ms
+        self.longest_act_ms = max(self.longest_act_ms, act_ms)
+        self.late_ms = max(self.late_ms, late_ms)
+
+    def line(self, text: str) -> None:
+        """Pass on a line of the decision module."""
+        self.log(text, "scheduler")
+
+
+class Program:
+    """One dispatcher on the platform."""
+
+    def __init__(self, config: Config, path: str) -> None:
+        """`path` is the configuration file's, which SIGHUP reads again."""
+        self.config = config
+        self.path = path
+        self.log = Log(config.name)
+        self.observer = Observer(self.log)
+        settings = config.settings
+        source = random.Random(config.seed)
+        room = config.sockets - SPARE
+        most_clients = int(room * CLIENTS)
+        self.servers = ServerList(config.zones)
+        self.transport = RespTransport(
+            PoolBounds(
+                max_connections=room - most_clients,
+                connect_timeout_ms=settings.connect_timeout_ms or 1000.0,
+                idle_close_ms=config.idle_close_ms,
+            ),
+            clock,
+            self.servers.dials.get,
+        )
+        self.brain = Brain(settings, source.getrandbits(62), clock())
+        self.driver = Driver(
+            self.brain,
+            Ledger(
+                drain_grace_ms=settings.drain_grace_ms,
+                answer_slack_ms=settings.answer_slack_ms,
+                max_open=4096,
+            ),
+            self.transport,
+            settings.classes,
+            self.observer,
+            clock=clock,
+        )
+        self.front = Front(
+            Reader(settings, list(config.classes), list(config.plans), config.shards),
+            self.driver,
+            FrontBounds(max_connections=most_clients),
+            clock,
+        )
+        self.watch = Watch(
+            self.servers,
+            config.discovery,
+            listed=self._listed,
+            clock=clock,
+            wall_ms=wall_ms,
+            log=self.log,
+        )
+        self.driver.subscribe = self.watch.subscribe
+        self.turns: Turns | None = None
+
+    def _listed(self, report: NodeList) -> None:
+        self.driver.listed(report)
+        for name in self.servers.moved:
+            self.transport.forget(name)
+        self.servers.moved = []
+
+    async def run(self) -> None:
+        """Serve until SIGTERM, then until nothing is owed."""
+        loop = asyncio.get_running_loop()
+        self.turns = Turns(self.driver, loop)
+        try:
+            self._listed(self.servers.receive(self.config.known, clock(), wall_ms(), cached=True))
+        except ListError as wrong:
+            self.log(f"known: {wrong}")
+        stopped = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, stopped.set)
+        loop.add_signal_handler(signal.SIGINT, stopped.set)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.watch.run)
+            tasks.start_soon(self._sweep)
+            server = await loop.create_server(self.front.protocol, *self.config.listen, backlog=1024)
+            # What stands now stays: the collector need not go through it again and again.
+            gc.collect()
+            gc.freeze()
+            self.log(f"serving at {self.config.listen[0]}:{self.config.listen[1]}")
+            await stopped.wait()
+            self.log(f"stopping, {self.front.owes()} owed")
+            await asyncio.sleep(NEW_MS / 1000)
+            server.close()
+            self.front.leave()
+            last = clock() + LAST_MS - NEW_MS
+            while (self.front.clients or self.front.owes()) and clock() < last:
+                await asyncio.sleep(0.02)
+            self.log(f"stopped, {self.front.owes()} owed")
+            tasks.cancel_scope.cancel()
+
+    def reload(self) -> None:
+        """Read the configuration again: discovery's address can change while the program runs."""
+        try:
+            with open(self.path, encoding="utf-8") as file:
+                found = parse(file.read())
+        except (OSError, ConfigError) as wrong:
+            self.log(f"configuration not taken over: {wrong}")
+            return
+        if found.settings != self.config.settings or found.listen != self.config.listen:
+            self.log("settings and listen need a restart; discovery is taken over")
+        self.log(f"discovery is {found.discovery[0]}:{found.discovery[1]}")
+        self.watch.move(found.discovery)
+
+    async def _sweep(self) -> None:
+        bounds = self.front.bounds
+        report_at = clock() + REPORT_MS
+        while True:
+            await asyncio.sleep(bounds.sweep_ms / 1000)
+            self.front.sweep()
+            self.transport.sweep()
+            if clock() >= report_at:
+                report_at += REPORT_MS
+                self._report()
+
+    def _report(self) -> None:
+        """Write what the dispatcher believes and holds."""
+        o, t, f = self.observer, self.transport, self.front
+        turns = self.turns.turns if self.turns is not None else 0
+        self.log(
+            f"clients={len(f.clients)} owed={f.owes()} evicted={f.evicted} malformed={f.malformed} "
+            f"refused={f.refused_commands} nodes={len(t.open)} opened={t.opened} reused={t.reused} "
+            f"spoilt={t.spoilt} surplus={t.surplus} turns={turns} events={o.events} act={o.act_ms:.0f} "
+            f"longest={o.longest_act_ms:.1f} late={o.late_ms:.1f} cpu={time.process_time():.2f} "
+            f"outcomes={dict(o.outcomes)} answers={dict(o.answers)}",
+            "state",
+        )
+        o.longest_act_ms = o.late_ms = 0.0
+        lanes = self.brain.lanes
+        parts = []
+        for name, node in self.brain.nodes.items():
+            lane = lanes.get(node.line.shard) if node.line is not None else None
+            waiting = lane.waiting if lane is not None and lane.node is node else 0
+            state = node.line.state.value if node.line is not None else "?"
+            parts.append(
+                f"{name}:{state} D={node.depth:.1f} out={len(node.out)}+{len(node.strays)} wait={waiting} "
+                f"lag={node.lag:.0f} base={node.base:.0f} ratio={node.ratio:.2f} "
+                f"rest={max(0.0, node.closed_until - clock()):.0f}"
+            )
+        self.log("; ".join(parts), "belief")
+
+
+def main() -> int:
+    """Run by the platform's environment; 1 and one line where its configuration cannot be used."""
+    path = os.environ.get("LB_CONFIG", "")
+    try:
+        with open(path, encoding="utf-8") as file:
+            config = parse(file.read())
+    except (OSError, ConfigError) as wrong:
+        print(f"cressrock platform: LB_CONFIG {path!r}: {wrong}", file=sys.stderr)
+        return 1
+    program = Program(config, path)
+    failed: list[BaseException] = []
+    try:
+        anyio.run(program.run, backend="asyncio")
+    except* OSError as group:
+        failed.append(group)
+    for error in failed:
+        while isinstance(error, BaseExceptionGroup):
+            error = error.exceptions[0]
+        print(f"cressrock platform: {error}", file=sys.stderr)
+    return 1 if failed else 0
--- /dev/null
+++ b/cressrock/platform/serverlist.py
@@ -0,0 +1,93 @@
+"""The platform's list of storage servers: discovery's answers in, reports for the scheduler out.  Pure."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from cressrock.interface import ListKind, Node, NodeList, NodeState
+from cressrock.platform.config import ConfigError, address
+
+STATES = {"active": NodeState.READY, "leaving": NodeState.DRAINING, "left": NodeState.GONE}
+
+
+class ListError(ValueError):
+    """An answer of discovery that cannot be used; the text names the place in it."""
+
+
+class ServerList:
+    """The list as last accepted.  `host` names a server everywhere; `dial` is its address from here."""
+
+    def __init__(self, zones: tuple[str, ...]) -> None:
+        """`zones` are the settings' zone names, in their order."""
+        self.zones = {name: index for index, name in enumerate(zones)}
+        self.version = -1
+        self.dials: dict[str, tuple[str, int]] = {}
+        self.moved: list[str] = []  # what the last answer gave another address or start, or took off
+        self._starts: dict[str, tuple[float, float]] = {}
+
+    def receive(self, value: Any, now_ms: float, wall_ms: float, *, cached: bool = False) -> NodeList:
+        """Take in an answer; `now_ms` and `wall_ms` are the module's clock and Unix time at one instant.
+
+        Raises ListError, and changes nothing, where it is malformed or older than the list that is held.
+        """
+        if not isinstance(value, dict) or not isinstance(value.get("hosts"), list):
+            raise ListError("hosts is missing")
+        version, whole = value.get("seq"), value.get("whole")
+        if not isinstance(version, int) or not isinstance(whole, bool):
+            raise ListError("seq or whole is missing")
+        if version < self.version and not whole:
+            raise ListError(f"seq {version} is older than {self.version}")
+        entries = [self._entry(entry, f"hosts[{i}]") for i, entry in enumerate(value["hosts"])]
+        if whole or cached:
+            kept = {name for name, *_ in entries}
+            self.moved = [name for name in self.dials if name not in kept]
+            for name in self.moved:
+                del self.dials[name]
+                self._starts.pop(name, None)
+        else:
+            self.moved = []
+        self.version = version
+        nodes = []
+        for name, dial, shard, zone, state, born in entries:
+            known = self._starts.get(name)
+            if known is not None and (known[0] != born or self.dials.get(name) != dial):
+                self.moved.append(name)
+            # A start is put on the module's clock when it is first heard of: a wall clock that is stepped
+            # must not make a cold server warm, nor a warm one cold.
+            if known is None or known[0] != born:
+                known = (born, now_ms - max(0.0, wall_ms - born) if born else 0.0)
+            if state is NodeState.GONE:
+                self._starts.pop(name, None)
+                self.dials.pop(name, None)
+                self.moved.append(name)
+            else:
+                self._starts[name] = known
+                self.dials[name] = dial
+            nodes.append(Node(name, shard, zone, known[1], state))
+        kind = ListKind.CACHED if cached else ListKind.COMPLETE if whole else ListKind.CHANGES
+        return NodeList(kind, tuple(nodes))
+
+    def _entry(
+        self, entry: Any, place: str
+    ) -> tuple[str, tuple[str, int], int, int, NodeState, float]:
+        if not isinstance(entry, dict):
+            raise ListError(f"{place} is no object")
+        name, dial, shard = entry.get("host"), entry.get("dial"), entry.get("block")
+        if not isinstance(name, str) or not name:
+            raise ListError(f"{place}.host is missing")
+        if not isinstance(shard, int) or shard < 0:
+            raise ListError(f"{place}.block is missing or no whole number")
+        state = STATES.get(str(entry.get("health")))
+        if state is None:
+            raise ListError(f"{place}.health: unknown word {entry.get('health')!r}")
+        try:
+            reach = address(str(dial), f"{place}.dial")
+        except ConfigError as wrong:
+            if state is not NodeState.GONE:
+                raise ListError(str(wrong)) from None
+            reach = ("", 0)
+        born = entry.get("born_ms", 0)
+        if isinstance(born, bool) or not isinstance(born, (int, float)) or born < 0:
+            raise ListError(f"{place}.born_ms is no time")
+        zone = self.zones.get(str(entry.get("site", "")), 0)
+        return name, reach, shard, zone, state, float(born)
--- /dev/null
+++ b/cressrock/resp/__init__.py
@@ -0,0 +1,1 @@
+"""RESP2 (the Redis serialization protocol): codec, the front for clients, connections to storage servers."""
--- /dev/null
+++ b/cressrock/resp/nodes.py
@@ -0,0 +1,345 @@
+"""Connections to storage servers that speak RESP2, and one attempt on each of them: a carrier.
+
+A connection carries one attempt at a time, so that an attempt can be given up by closing it and no answer
+stands behind a slow one.  It picks no server.  What it reports is exact about one thing above all: whether
+the last byte of a request can have reached the server.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import heapq
+import select
+import socket
+from collections import OrderedDict
+from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass
+from typing import cast
+
+from cressrock.dispatch.transport import Call, Ending
+from cressrock.interface import Outcome
+from cressrock.resp import codec
+from cressrock.resp.answers import load_of, outcome_of
+
+
+@dataclass(frozen=True, slots=True)
+class PoolBounds:
+    """Bounds of the storage servers' side; times in milliseconds."""
+
+    max_connections: int
+    connect_timeout_ms: float
+    idle_close_ms: float  # the server closes an idle connection then at the latest
+    idle_part: float = 0.6  # of that time: an older connection may be closed under a request's way there
+    stall_ms: float = 250.0  # a server writes an answer at once: one begun and not gone on with is broken
+
+
+class _Connection(asyncio.Protocol):
+    """A connection to a storage server."""
+
+    __slots__ = ("pool", "node", "transport", "parser", "flight", "idle_since", "unsent", "lost")
+
+    def __init__(self, pool: RespTransport, node: str) -> None:
+        self.pool = pool
+        self.node = node
+        self.transport: asyncio.Transport = cast(asyncio.Transport, None)
+        self.parser = codec.Replies()
+        self.flight: _Flight | None = None
+        self.idle_since = 0.0
+        self.unsent = False  # bytes of the request are still here
+        self.lost = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.Transport, transport)
+        raw = transport.get_extra_info("socket")
+        with suppress(OSError):
+            raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        # Any byte that is not with the kernel yet counts as unsent.
+        self.transport.set_write_buffer_limits(high=0)
+
+    def pause_writing(self) -> None:
+        self.unsent = True
+
+    def resume_writing(self) -> None:
+        self.unsent = False
+
+    def data_received(self, data: bytes) -> None:
+        flight = self.flight
+        if flight is None:
+            # What comes unasked may be the answer to nothing: whatever is read here next could be its rest.
+            self.pool.surplus += 1
+            self.pool._drop(self)
+            return
+        self.parser.feed(data)
+        try:
+            got = self.parser.next()
+        except codec.Malformed as wrong:
+            self.pool.spoilt += 1
+            self.pool._drop(self)
+            flight.finish(Outcome.ERROR, f"unreadable: {wrong}")
+            return
+        if got is None:
+            self.pool._watch_stall(flight)
+            return
+        outcome, value, text = outcome_of(got[0])
+        used, cost = load_of(got[0])
+        self.flight = None
+        if self.parser.partial:
+            self.pool.surplus += 1
+            self.pool._drop(self)
+        else:
+            self.pool._release(self)
+        flight.finish(outcome, text, value, used, cost)
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.lost = True
+        flight = self.flight
+        self.pool._lost(self)
+        if flight is not None:
+            if self.unsent:
+                flight.finish(Outcome.NO_CONNECTION, "broke before the request was written")
+            else:
+                flight.finish(Outcome.RESET, f"broke: {exc or 'closed'}")
+
+    def fresh(self) -> bool:
+        """Whether nothing waits to be read: neither an end nor bytes that belong to an earlier answer."""
+        if self.lost or self.transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return not poll.poll(0)
+
+
+class _Flight:
+    """One attempt under way."""
+
+    __slots__ = ("pool", "call", "connection", "connecting", "done", "stall_at")
+
+    def __init__(self, pool: RespTransport, call: Call) -> None:
+        self.pool = pool
+        self.call = call
+        self.connection: _Connection | None = None
+        self.connecting: asyncio.Task[None] | None = None
+        self.done = False
+        self.stall_at = 0.0
+
+    def stop(self) -> None:
+        """Give it up by order."""
+        self._give_up(Outcome.CANCELLED, Outcome.MOOT, "cancelled")
+
+    def give_up(self, text: str) -> None:
+        """Wait no longer."""
+        self._give_up(Outcome.TIMEOUT, Outcome.NO_CONNECTION, text)
+
+    def _give_up(self, sent: Outcome, unsent: Outcome, text: str) -> None:
+        if self.done:
+            return
+        connection = self.connection
+        if self.connecting is not None:
+            self.connecting.cancel()
+        if connection is None:
+            self.finish(unsent, f"{text} while connecting")
+            return
+        outcome = unsent if connection.unsent else sent
+        self.pool._drop(connection)
+        self.finish(outcome, text)
+
+    def finish(
+        self, outcome: Outcome, text: str = "", value: bytes | None = None, used: int = 0, cost: float = 0.0
+    ) -> None:
+        """Report the outcome, once."""
+        if self.done:
+            return
+        self.done = True
+        if self.connection is not None:
+            self.connection.flight = None
+            self.connection = None
+        lag = self.pool.clock() - self.call.attempt.sent_at
+        self.call.end(Ending(outcome, lag, value, used, cost, text))
+
+
+class RespTransport:
+    """The connections of one dispatcher to all storage servers; carries attempts for the driver."""
+
+    def __init__(
+        self, bounds: PoolBounds, clock: Callable[[], float], dial: Callable[[str], tuple[str, int] | None]
+    ) -> None:
+        """`clock` is the driver's; `dial` gives a server's address, None for one that has none."""
+        self.bounds = bounds
+        self.clock = clock
+        self.dial = dial
+        self.idle: dict[str, OrderedDict[_Connection, None]] = {}
+        self.open: dict[_Connection, None] = {}
+        self.opening = 0
+        self.opened = 0
+        self.reused = 0
+        self.surplus = 0
+        self.spoilt = 0
+        self._limits: list[tuple[float, int, _Flight]] = []
+        self._count = 0
+        self._rings: asyncio.TimerHandle | None = None
+        self._rings_at = float("inf")
+
+    # --- the driver's side
+
+    def start(self, call: Call) -> _Flight:
+        """Begin an attempt on an idle connection, else on a new one."""
+        flight = _Flight(self, call)
+        node = call.attempt.node.name
+        self._limit(call.deadline, flight)
+        connection = self._idle(node)
+        if connection is not None:
+            self.reused += 1
+            self._write(connection, flight)
+            return flight
+        address = self.dial(node)
+        if address is None:
+            flight.finish(Outcome.NO_CONNECTION, "no address")
+            return flight
+        if len(self.open) + self.opening >= self.bounds.max_connections and not self._make_room():
+            # Danger: reported as a failed connection it would speak against a sound server.
+            flight.finish(Outcome.MOOT, "no descriptor is left for a connection")
+            return flight
+        flight.connecting = asyncio.get_running_loop().create_task(self._connect(node, address, flight))
+        return flight
+
+    def forget(self, node: str) -> None:
+        """Close the idle connections to a server that is gone, was replaced or cannot be heard."""
+        for connection in list(self.idle.pop(node, ())):
+            self._drop(connection)
+
+    def sweep(self) -> None:
+        """Close what has idled so long that the server may be about to close it."""
+        oldest = self.clock() - self.bounds.idle_close_ms * self.bounds.idle_part
+        for node, idle in list(self.idle.items()):
+            for connection in list(idle):
+                if connection.idle_since > oldest:
+                    break
+                self._drop(connection)
+            if not self.idle.get(node):
+                self.idle.pop(node, None)
+
+    # --- connections
+
+    def _idle(self, node: str) -> _Connection | None:
+        """Take the idle connection that was used last."""
+        idle = self.idle.get(node)
+        oldest = self.clock() - self.bounds.idle_close_ms * self.bounds.idle_part
+        while idle:
+            connection, _ = idle.popitem()
+            if connection.idle_since > oldest and connection.fresh():
+                return connection
+            self._drop(connection)
+        return None
+
+    def _make_room(self) -> bool:
+        """Close the connection that has idled longest."""
+        firsts = [next(iter(idle)) for idle in self.idle.values() if idle]
+        if not firsts:
+            return False
+        self._drop(min(firsts, key=lambda connection: connection.idle_since))
+        return True
+
+    async def _connect(self, node: str, address: tuple[str, int], flight: _Flight) -> None:
+        self.opening += 1
+        connection: _Connection | None = None
+        try:
+            loop = asyncio.get_running_loop()
+            async with asyncio.timeout(self.bounds.connect_timeout_ms / 1000):
+                _, connection = await loop.create_connection(lambda: _Connection(self, node), *address)
+        except TimeoutError:
+            flight.finish(Outcome.NO_CONNECTION, "not accepted in time")
+        except OSError as failed:
+            flight.finish(Outcome.NO_CONNECTION, f"{failed.strerror or failed}")
+        finally:
+            self.opening -= 1
+            flight.connecting = None
+        if connection is None:
+            return
+        self.opened += 1
+        if not connection.lost:
+            self.open[connection] = None
+        if flight.done:
+            self._release(connection)
+        elif connection.lost:
+            flight.finish(Outcome.NO_CONNECTION, "closed at once")
+        else:
+            self._write(connection, flight)
+
+    def _write(self, connection: _Connection, flight: _Flight) -> None:
+        connection.flight = flight
+        flight.connection = connection
+        call = flight.call
+        connection.transport.write(call.op.command(call.deadline - self.clock()))
+
+    def _release(self, connection: _Connection) -> None:
+        """Keep a connection for the next attempt."""
+        connection.flight = None
+        if connection.lost or connection.transport.is_closing():
+            return
+        connection.idle_since = self.clock()
+        self.idle.setdefault(connection.node, OrderedDict())[connection] = None
+
+    def _drop(self, connection: _Connection) -> None:
+        """Close a connection; whatever is on its way there or back is given up."""
+        connection.flight = None
+        self._lost(connection)
+        connection.transport.abort()
+
+    def _lost(self, connection: _Connection) -> None:
+        self.open.pop(connection, None)
+        idle = self.idle.get(connection.node)
+        if idle is not None:
+            idle.pop(connection, None)
+
+    # --- time-outs: one timer for all
+
+    def _watch_stall(self, flight: _Flight) -> None:
+        flight.stall_at = self.clock() + self.bounds.stall_ms
+        self._limit(flight.stall_at, flight)
+
+    def _limit(self, at: float, flight: _Flight) -> None:
+        self._count += 1
+        heapq.heappush(self._limits, (at, self._count, flight))
+        if at < self._rings_at:
+            if self._rings is not None:
+                self._rings.cancel()
+            self._ring_at(at)
+
+    def _ring_at(self, at: float) -> None:
+        self._rings_at = at
+        loop = asyncio.get_running_loop()
+        self._rings = loop.call_later(max(0.0, at - self.clock()) / 1000 + 1e-6, self._ring)
+
+    def _ring(self) -> None:
+        now = self.clock()
+        self._rings, self._rings_at = None, float("inf")
+        while self._limits and (self._limits[0][2].done or self._limits[0][0] <= now):
+            at, _, flight = heapq.heappop(self._limits)
+            if flight.done:
+                continue
+            if at >= flight.call.deadline:
+                node, sent_at = flight.call.attempt.node.name, flight.call.attempt.sent_at
+                flight.give_up("no answer in time")
+                self._suspect(node, sent_at)
+            elif at == flight.stall_at:
+                self.spoilt += 1
+                connection = flight.connection
+                if connection is not None:
+                    self._drop(connection)
+                flight.finish(Outcome.ERROR, "an answer was begun and not gone on with")
+        if self._limits:
+            self._ring_at(self._limits[0][0])
+
+    def _suspect(self, node: str, since: float) -> None:
+        """Close the idle connections to a server that has not been heard since an attempt was sent.
+
+        Danger: a machine that was cut off resets them once it is back, and a request written to one may
+        then have run as far as anybody can tell; a new connection that fails proves that it never ran.
+        """
+        idle = self.idle.get(node)
+        if idle and max(connection.idle_since for connection in idle) < since:
+            self.forget(node)
--- a/cressrock/webdav/compose.py
+++ b/cressrock/webdav/compose.py
@@ -17,8 +17,9 @@
 from typing import Any
 
 from cressrock.dispatch.ledger import Verdict
-from cressrock.dispatch.operation import Body, Denied, Incoming, Reply, Result
+from cressrock.dispatch.operation import Body, Incoming, Reply, Result
 from cressrock.dispatch.reasons import Reason
+from cressrock.dispatch.transport import Denied
 from cressrock.http.channel import Headers, header
 from cressrock.webdav import conditions, xml
 from cressrock.webdav.conditions import State
--- a/cressrock/webdav/front.py
+++ b/cressrock/webdav/front.py
@@ -14,11 +14,12 @@
 import anyio
 import h11
 
-from cressrock.dispatch.driver import Driver
 from cressrock.dispatch.ledger import Verdict
-from cressrock.dispatch.operation import Cut, Denied, Incoming, Operation, Reply, Result
+from cressrock.dispatch.operation import Cut, Incoming, Operation, Reply, Result
 from cressrock.dispatch.reasons import Reason
 from cressrock.dispatch.spool import Spool, Store, whole
+from cressrock.dispatch.tasks import TaskDriver
+from cressrock.dispatch.transport import Denied
 from cressrock.http.channel import Gone, Headers, header
 from cressrock.http.server import Exchange
 from cressrock.observe.metrics import Metrics
@@ -39,7 +40,7 @@
     def __init__(
         self,
         settings: Gateway,
-        driver: Driver,
+        driver: TaskDriver,
         store: Store,
         metrics: Metrics,
         *,
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -9,8 +9,8 @@
 import pytest
 
 from cressrock.brain import Brain
-from cressrock.dispatch.driver import Driver
 from cressrock.dispatch.ledger import Ledger
+from cressrock.dispatch.tasks import TaskDriver as Driver
 from cressrock.gateway import Parts
 from cressrock.interface import NodeList, NodeState, Outcome, Refuse, Send
 from cressrock.lab.day import Script, play
