--- a/cressrock/dispatch/tasks.py
+++ b/cressrock/dispatch/tasks.py
@@ -45,7 +45,7 @@
     """Carries attempts over HTTP/1.1; `tasks` has to be set before the first."""
 
     def __init__(self, nodes: NodeClient, reader_patience_ms: float, clock: Callable[[], float]) -> None:
-        """`reader_patience_ms` is how long a streamed answer waits for its reader before it loses its slot."""
+        """`reader_patience_ms` is how long a streamed answer waits for its reader before its slot goes."""
         self.nodes = nodes
         self.reader_patience_ms = reader_patience_ms
         self.clock = clock
