Clients that ask once and stay no longer use up the connections of the others

What was left were 128 and more idle connections that had asked once, held for 2.1 s each, against a third of 384 descriptors that all clients may hold: the others found no connection left.

Tests: clients that stay, newcomers.

--- a/cressrock/platform/program.py
+++ b/cressrock/platform/program.py
@@ -30,7 +30,10 @@
 from cressrock.resp.request import Reader
 
 SPARE = 32  # descriptors for the listener, discovery, the event loop and the standard streams
-CLIENTS = 0.55  # of the others: the platform's clients hold a third of all, the rest is for silent peers
+# Of the others storage servers get a quarter and no fewer than this: D keeps to a few tens in all.  Clients
+# get the rest: a third of all holds requests, and idle connections and silent peers come on top.
+NODES, NODES_LEAST = 0.25, 64
+ASKING = 0.25  # of all descriptors: clients hold at most a third for requests, and must be able to come back
 # Storage servers were seen to serve whole values of 400 KB, past the 64 KiB that the platform names and its
 # clients keep to.  What bounds an answer is the memory here: one takes so much of it at most, and all that
 # clients have not read yet an eighth.
@@ -122,7 +125,7 @@
         settings = config.settings
         source = random.Random(config.seed)
         room = config.sockets - SPARE
-        most_clients = int(room * CLIENTS)
+        most_clients = max(1, room - max(int(room * NODES), min(NODES_LEAST, room // 2)))
         self.servers = ServerList(config.zones)
         self.transport = RespTransport(
             PoolBounds(
@@ -152,7 +155,9 @@
             Reader(settings, list(config.classes), list(config.plans), config.shards),
             self.driver,
             FrontBounds(
-                max_connections=most_clients, max_unread=int(config.memory_mb * UNREAD * (1 << 20))
+                max_connections=most_clients,
+                max_asking=int(config.sockets * ASKING),
+                max_unread=int(config.memory_mb * UNREAD * (1 << 20)),
             ),
             clock,
         )
@@ -205,6 +210,7 @@
             self.front.end_by(last)
             await asyncio.sleep(NEW_MS / 1000)
             server.close()
+            self.front.welcome = False
             while self.front.clients and clock() < last:
                 if clock() >= last - CLOSING_MS:
                     self.front.leave()
@@ -241,8 +247,9 @@
         o, t, f = self.observer, self.transport, self.front
         turns = self.turns.turns if self.turns is not None else 0
         self.log(
-            f"clients={len(f.clients)} owed={f.owes()} evicted={f.evicted} malformed={f.malformed} "
-            f"refused={f.refused_commands} nodes={len(t.open)} opened={t.opened} reused={t.reused} "
+            f"clients={len(f.clients)} asking={f.asking} owed={f.owes()} evicted={f.evicted} "
+            f"yielded={f.yielded} malformed={f.malformed} refused={f.refused_commands} "
+            f"nodes={len(t.open)} opened={t.opened} reused={t.reused} "
             f"spoilt={t.spoilt} surplus={t.surplus} turns={turns} events={o.events} act={o.act_ms:.0f} "
             f"longest={o.longest_act_ms:.1f} late={o.late_ms:.1f} cpu={time.process_time():.2f} "
             f"outcomes={dict(o.outcomes)} answers={dict(o.answers)}",
--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -28,10 +28,12 @@
     """Bounds of the clients' side; times in milliseconds."""
 
     max_connections: int
+    max_asking: int  # connections that have asked: above it those idle longest are closed
     max_unread: int  # bytes of answers that clients have not read, all together
     max_pipeline: int = 64  # open requests of one connection; more are refused
     silent_ms: float = 2100.0  # without an open request: closed; the platform allows it from 2 s on
     stuck_ms: float = 5000.0  # with an answer that its client does not read: closed
+    newcomer_ms: float = 250.0  # in which a new connection should ask; given up only after all others
     sweep_ms: float = 200.0
 
 
@@ -74,8 +76,11 @@
         front, now = self.front, self.front.clock()
         commands, wrong = self.parser.feed(data)
         for words in commands:
-            self.asked = True
             self.since = now
+            if not self.asked:
+                self.asked = True
+                front.asking += 1
+            front.resting.pop(self, None)
             self.queue.append(front._command(self, words, now))
         if wrong is not None:
             front.malformed += 1
@@ -109,12 +114,16 @@
         if ready and not self.transport.is_closing():
             self.since = self.front.clock()
             self.transport.write(cast(bytes, ready[0]) if len(ready) == 1 else b"".join(cast(Any, ready)))
-        if not queue and (self.closing or self.front.leaving):
-            self.transport.close()
+        if not queue:
+            if self.closing or self.front.leaving:
+                self.transport.close()
+            elif ready:
+                self.front._rests(self)
 
     def close(self) -> None:
         """Read nothing more, and close once all that is owed here is answered."""
         self.closing = True
+        self.front.resting.pop(self, None)
         self.transport.pause_reading()
         if not self.queue:
             self.transport.close()
@@ -133,12 +142,16 @@
         self.clock = clock
         self.clients: dict[_Client, None] = {}
         self.open_ids: set[str] = set()
+        self.asking = 0  # connections that have asked, and those of them that rest, idle longest first
+        self.resting: dict[_Client, None] = {}
+        self.welcome = True  # new connections can still be opened
         self.leaving = False
         self.last = FOREVER  # when the last answer has to be out
         self.count = 0
         self.malformed = 0
         self.refused_commands = 0
         self.evicted = 0
+        self.yielded = 0
 
     def protocol(self) -> _Client:
         """Return what serves a new connection."""
@@ -183,17 +196,42 @@
         self.clients[client] = None
 
     def _make_room(self) -> bool:
-        """Close the connection that has been silent longest; those that never asked anything go first."""
-        quiet = [c for c in self.clients if not c.queue and not c.closing]
-        if not quiet:
+        """Close a connection that asks nothing: one that never did, else the one idle longest.
+
+        Danger: a client that has just connected asks in a moment.  Closed first, as the newest of a crowd, it
+        loses its request and comes back at once, to be closed again; one that has asked before loses nothing.
+        """
+        young = self.clock() - self.bounds.newcomer_ms
+        worst, lowest = None, (3, 0.0)
+        for client in self.clients:
+            if not client.queue and not client.closing:
+                rank = 1 if client.asked else 0 if client.since <= young else 2
+                if (rank, client.since) < lowest:
+                    worst, lowest = client, (rank, client.since)
+        if worst is None:
             return False
-        worst = min(quiet, key=lambda c: (c.asked, c.since))
         self.evicted += 1
-        self.clients.pop(worst)
+        self._drop(worst)
         worst.closing = True
         worst.transport.abort()
         return True
 
+    def _rests(self, client: _Client) -> None:
+        """Keep an idle connection, and close another if more are kept than clients can open.
+
+        Danger: clients that ask once and keep their connection use up what all clients may hold open here;
+        the others then find no connection left, while the dispatcher sees nothing but a quiet front.
+        """
+        self.resting[client] = None
+        if self.asking > self.bounds.max_asking and self.welcome:
+            self.yielded += 1
+            next(iter(self.resting)).close()
+
+    def _drop(self, client: _Client) -> None:
+        if self.clients.pop(client, self) is None:
+            self.resting.pop(client, None)
+            self.asking -= client.asked
+
     def _bound_unread(self) -> None:
         """Give up the clients that have kept most bytes waiting, until the others' fit the bound."""
         stuck = {c: c.transport.get_write_buffer_size() for c in self.clients if c.stuck_at is not None}
@@ -205,7 +243,7 @@
             client.transport.abort()
 
     def _lost(self, client: _Client) -> None:
-        self.clients.pop(client, None)
+        self._drop(client)
         for pending in client.queue:
             if pending.name:
                 self._forget(pending)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -552,7 +552,8 @@
 
 def test_unread_answers_are_bounded_and_the_largest_go_first():
     driver = SimpleNamespace(left=lambda name: True)
-    front = Front(Reader(*READER), driver, FrontBounds(max_connections=9, max_unread=100), lambda: 0.0)
+    bounds = FrontBounds(max_connections=9, max_asking=9, max_unread=100)
+    front = Front(Reader(*READER), driver, bounds, lambda: 0.0)
     clients = []
     for held in (60, 30, 50):
         client = front.protocol()
@@ -562,3 +563,43 @@
         client.pause_writing()
         clients.append(client)
     assert [c.transport.closed for c in clients] == [True, False, False]
+
+
+@on_sockets
+async def test_clients_that_ask_once_and_stay_leave_room_for_the_others():
+    """Danger: what all clients may hold open here is used up by connections that ask nothing any more."""
+    async with stage(limits={"sockets": 100}) as s:
+        most = s.program.front.bounds.max_asking
+        clients = [await s.client() for _ in range(most + 5)]
+        for number, client in enumerate(clients):
+            assert await client.ask(read(number)) == b"value of " + ident(number)
+        for client in clients[:5]:  # those idle longest
+            with pytest.raises((EOFError, ConnectionError)):
+                await client.reply()
+        assert await clients[5].ask(read(99)) == b"value of " + ident(99)
+        await s.until(lambda: s.program.front.asking == most)
+
+
+def test_a_newcomer_is_given_up_after_all_others():
+    now = [0.0]
+    driver = SimpleNamespace(left=lambda name: True)
+    bounds = FrontBounds(max_connections=3, max_asking=9, max_unread=100)
+    front = Front(Reader(*READER), driver, bounds, lambda: now[0])
+
+    def come(asked=False):
+        client = front.protocol()
+        client.transport = Pipe()
+        client.asked = asked
+        front.asking += asked
+        front._connected(client)
+        return client
+
+    silent, idle = come(), come(asked=True)
+    now[0] = bounds.newcomer_ms + 1
+    first = come()
+    second, third, fourth = come(), come(), come()
+    # The one that was silent for long goes first, the idle one next, and a newcomer only after both.
+    assert [c.transport.closed for c in (silent, idle, first, second, third, fourth)] == [
+        True, True, True, False, False, False,
+    ]  # fmt: skip
+    assert front.asking == 0 and len(front.clients) == 3
