When an attempt counts as lost is learnt from what became of those so taken

At fault: one multiple for every place, in Brain._strays and Brain._room.

Test: six losses and nine slow answers.

--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -51,7 +51,9 @@
 TRIAL_MS = 10000.0  # between such tests
 RELEARN_MS = 30000.0  # in which an uncrowded answer time nears what a node shows at a D of one
 SMOOTH = 0.3  # weight of the newest answer in a node's smoothed times
-LOST = 5.0  # times the answer expected of its class: an overtaken attempt out for longer is taken as lost
+LOST = 10.0  # times the answer expected of its class: an overtaken attempt out for longer is taken as lost
+SURELY = 4.0  # the same where what was so taken never answered
+UNLIKE = 0.8  # by which one such end moves that multiple; an answer after all moves it back
 UNHEARD = 0.965  # what a period with nothing out leaves of a node's smoothed times
 WIDEN = 0.25  # added to D by a round of answers within the target while D is in use
 NARROW = 0.7  # what is left of D after a round of answers over the target
@@ -189,6 +191,7 @@
         self.ask_at = now_ms if settings.must_ask else FOREVER
         self.ask_wait = 0.0
         self.logged = 0
+        self.lost = LOST
         # Many hosts find out apart from each other that a queue grows; one alone knows all that is out.
         self.room = ROOM * (1 + 1 / settings.hosts)
         # What lies beyond a reserve waits the sooner the less it earns; where it earns the same, never.
@@ -321,6 +324,10 @@
         request.node = None
         if node.out.pop(event.request, None) is None:
             del node.strays[event.request]
+            if outcome is Outcome.TIMEOUT:
+                self.lost = max(SURELY, self.lost * UNLIKE)
+            elif outcome in (Outcome.OK, Outcome.ERROR):
+                self.lost = min(LOST, self.lost / UNLIKE)
         self._health(node, request, outcome, event.lag_ms)
         if outcome in MAY_STILL_RUN and request.cls.in_turn and request.arrival.key in self.turns:
             self.turns[request.arrival.key].rest_until = now + self.set.order_settle_ms
@@ -580,7 +587,7 @@
             if request.sent_at >= node.overtaken:
                 break
             expected = self._expected(node, request)
-            if self.now - request.sent_at > LOST * expected:
+            if self.now - request.sent_at > self.lost * expected:
                 node.strays[name] = node.out.pop(name)
                 again = request.cls.effect is not Effect.UNSAFE and request.attempts < self.set.max_attempts
                 if again and self.set.may_cancel and not request.ended:
@@ -603,7 +610,7 @@
             return node.depth >= 1 or self.now >= node.last_sent + node.lag / node.depth
         oldest = next(iter(node.out.values()))
         # With every slot held by what may be lost nothing could overtake it: one more finds out.
-        over = not node.backoff and self.now - oldest.sent_at > LOST * self._expected(node, oldest)
+        over = not node.backoff and self.now - oldest.sent_at > self.lost * self._expected(node, oldest)
         return len(node.out) < int(node.depth) + over
 
     def _dispatch(self, lane: _Lane, node: _Node) -> None:
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from cressrock.brain import DEPTH, GIVE_UP, NEVER_RAN, PERIOD_MS, RESTART_MS, WIDEST, Brain
+from cressrock.brain import DEPTH, GIVE_UP, LOST, NEVER_RAN, PERIOD_MS, RESTART_MS, SURELY, WIDEST, Brain
 from cressrock.interface import (
     Arrival,
     Cancel,
@@ -683,3 +683,32 @@
     for step in range(5):
         node = answer(brain, 100.0 * step, f"r{step}", 20.0, units=0.0)
     assert node.base == pytest.approx(20.0) and node.slope == 0.0
+
+
+def test_when_an_attempt_counts_as_lost_is_learnt_from_what_became_of_those():
+    """Danger: one multiple for all holds slots for lost answers here, and gives up slow ones there."""
+    brain = host(depth=2.0, max_attempts=1)
+    now = 0.0
+
+    def overtaken(name, outcome):
+        """Send one, let later ones overtake it until it counts as lost, then end it."""
+        nonlocal now
+        brain.act(now, [ask(name, remaining=1500.0)])
+        for step in range(30):
+            now += 40.0
+            brain.act(now, [ask(f"{name}-{step}")])
+            brain.act(now + 20.0, [done(f"{name}-{step}")])
+        assert name in brain.nodes["a"].strays
+        brain.act(now + 25.0, [Ended(name, 0, outcome, True, 1225.0)])
+        now += 30.0
+
+    brain.act(now, [ask("first")])
+    brain.act(now + 20.0, [done("first")])
+    now += 25.0
+    assert brain.lost == LOST
+    for number in range(6):
+        overtaken(f"l{number}", Outcome.TIMEOUT)
+    assert brain.lost == SURELY
+    for number in range(9):
+        overtaken(f"s{number}", Outcome.OK)
+    assert brain.lost == LOST
