What is past its aim and was never sent is refused at a quarter of its time

Sites whose aim is more than a quarter of a deadline must not be given up before it.

At fault: GIVE_UP = 0.45 in brain.py alone, whatever the aim.

--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -57,7 +57,8 @@
 UNHEARD = 0.965  # what a period with nothing out leaves of a node's smoothed times
 WIDEN = 0.25  # added to D by a round of answers within the target while D is in use
 NARROW = 0.7  # what is left of D after a round of answers over the target
-GIVE_UP = 0.45  # of a request's time: what was never sent by then is refused, while its client can come back
+GIVE_UP = 0.25  # of a request's time: what was never sent by then, and is past its aim, is refused
+HALF = 0.45  # the same whatever its aim: well before half, while its client can come back
 RESERVE_COST = 0.1  # of a unit's cost in tags while it lies inside the volume's reserve
 COLD_DRAWN = 1.0  # of what a cold node bears: what lots drawn by many hosts give it in the mean
 RESTART_MS = 1000.0  # no process that died is back sooner: its part of each limit filled meanwhile
@@ -265,7 +266,8 @@
         """When to look at a request: at its part of the time while unsent, else just before its end."""
         last = request.end_at - 2 * self.set.tick_ms
         if not request.attempts:
-            return min(last, request.taken_at + GIVE_UP * request.arrival.remaining_ms)
+            left, aim = request.arrival.remaining_ms, request.aim_at - request.taken_at
+            return min(last, request.taken_at + max(GIVE_UP * left, min(aim, HALF * left)))
         return last if request.node is None or self.now < last else request.end_at
 
     def _place(self, request: _Request) -> None:
