--- a/cressrock/platform/config.py
+++ b/cressrock/platform/config.py
@@ -9,6 +9,9 @@
 from cressrock.config import settings_from
 from cressrock.interface import Settings
 
+LEAST_MB = 16  # the program alone takes about so much
+LEAST_SOCKETS = 48  # below it nothing is left beside what the program itself holds
+
 
 class ConfigError(ValueError):
     """A configuration that cannot be used; the text names the place in it."""
@@ -46,7 +49,7 @@
         settings = settings_from(raw)
     except (ValueError, TypeError, AttributeError) as wrong:
         raise ConfigError(f"settings: {wrong}") from None
-    limits = value.get("limits") or {}
+    limits = _part(value, "limits", dict)
     seed = _part(value, "seed", str)
     try:
         number = int(seed, 16)
@@ -58,8 +61,8 @@
         listen=address(_part(value, "listen", str), "listen"),
         discovery=address(_part(value, "discovery", str), "discovery"),
         seed=number,
-        memory_mb=float(limits.get("memory_mb", 192)),
-        sockets=int(limits.get("sockets", 1024)),
+        memory_mb=_number(limits, "limits", "memory_mb", LEAST_MB),
+        sockets=int(_number(limits, "limits", "sockets", LEAST_SOCKETS)),
         known=_part(value, "known", dict),
         settings=settings,
         classes=_names(raw, "profiles"),
@@ -85,6 +88,13 @@
     return found
 
 
+def _number(part: dict[str, Any], place: str, name: str, least: float) -> float:
+    found = part.get(name)
+    if isinstance(found, bool) or not isinstance(found, (int, float)) or not found >= least:
+        raise ConfigError(f"{place}.{name}: a number of at least {least:g} was expected, not {found!r}")
+    return float(found)
+
+
 def _names(raw: dict[str, Any], place: str) -> tuple[str, ...]:
     names = []
     for index, entry in enumerate(raw.get(place) or []):
--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -161,8 +161,10 @@
         """Close what asks nothing, and what does not read its answers."""
         now = self.clock()
         for client in list(self.clients):
-            if client.stuck_at is not None:
-                if now - client.stuck_at > self.bounds.stuck_ms:
+            if client.closing or client.stuck_at is not None:
+                # Danger: a connection that is closed with bytes its peer never reads would stand for ever.
+                since = client.since if client.stuck_at is None else client.stuck_at
+                if now - since > self.bounds.stuck_ms and (client.stuck_at is not None or not client.queue):
                     client.transport.abort()
             elif self.last < FOREVER:
                 pass  # no connection can be opened any more: what is open is used to the last
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -206,7 +206,7 @@
 
 @on_sockets
 async def test_silent_connections_make_room_for_new_ones():
-    async with stage(limits={"sockets": 60}) as s:
+    async with stage(limits={"sockets": 60, "memory_mb": 64}) as s:
         most = s.program.front.bounds.max_connections
         for _ in range(2 * most):
             await s.client()
@@ -568,7 +568,7 @@
 @on_sockets
 async def test_clients_that_ask_once_and_stay_leave_room_for_the_others():
     """Danger: what all clients may hold open here is used up by connections that ask nothing any more."""
-    async with stage(limits={"sockets": 100}) as s:
+    async with stage(limits={"sockets": 100, "memory_mb": 64}) as s:
         most = s.program.front.bounds.max_asking
         clients = [await s.client() for _ in range(most + 5)]
         for number, client in enumerate(clients):
@@ -603,3 +603,21 @@
         True, True, True, False, False, False,
     ]  # fmt: skip
     assert front.asking == 0 and len(front.clients) == 3
+
+
+def test_a_closed_connection_whose_peer_never_reads_does_not_stand_for_ever():
+    now = [0.0]
+    bounds = FrontBounds(max_connections=9, max_asking=9, max_unread=100)
+    front = Front(Reader(*READER), SimpleNamespace(left=lambda name: True), bounds, lambda: now[0])
+    client = front.protocol()
+    client.transport = Pipe()
+    front._connected(client)
+    client.data_received(b"*x\r\n")
+    written = len(client.transport.written)
+    client.transport.closed = False  # the error line is still on its way
+    now[0] = bounds.stuck_ms - 1
+    front.sweep()
+    assert not client.transport.closed and len(client.transport.written) == written == 1
+    now[0] = bounds.stuck_ms + 1
+    front.sweep()
+    assert client.transport.closed
