Which connection goes is decided in a pure module; answers over HTTP are read in one place

Need, from rereading the change: Front chose the connections to give up, a decision in a carrier; platform/watch read an answer with the loop that nodeclient has; discovery's whole list with an older seq replaced a newer one.

Change: resp/room.py (pure) with tests of its own; Channel.response and Channel.rest for both; an older list is refused and logged, the last good one stays.

--- a/cressrock/dispatch/nodeclient.py
+++ b/cressrock/dispatch/nodeclient.py
@@ -17,7 +17,7 @@
 from msgspec import Meta, Struct
 
 from cressrock.dispatch.operation import Body, Cut, Operation, Reply
-from cressrock.http.channel import BROKEN, Channel, Gone, Headers, PushStream, Stream, header
+from cressrock.http.channel import BROKEN, Channel, Gone, Headers, PushStream, Stream, TooLarge, header
 from cressrock.http.server import Size, Time
 
 Connect = Callable[[str, int], Awaitable[Stream]]
@@ -39,10 +39,6 @@
     """No byte of the request was handed to a connection: it cannot have run."""
 
 
-class TooLarge(Exception):
-    """An answer that has to be taken in whole is over its bound."""
-
-
 @dataclass(slots=True)
 class Progress:
     """How far an attempt came; true at every moment, also when it is cancelled."""
@@ -231,12 +227,7 @@
     async def _answer(
         self, channel: Channel, progress: Progress, may_stream: bool
     ) -> tuple[Reply, NodePayload | None]:
-        while True:
-            event = await channel.event()
-            if isinstance(event, h11.Response):
-                break
-            if not isinstance(event, h11.InformationalResponse):
-                raise Gone("the node closed without an answer")
+        event = await channel.response()
         headers: Headers = list(event.headers)
         progress.head, progress.headers = True, headers
         announced = header(headers, b"content-length")
@@ -247,19 +238,7 @@
         ):
             payload = NodePayload(channel)
             return Reply(event.status_code, headers, b"", payload), payload
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            part = await channel.event()
-            if isinstance(part, h11.Data):
-                size += len(part.data)
-                if size > self.bounds.max_reply_bytes:
-                    raise TooLarge(f"an answer of over {self.bounds.max_reply_bytes} bytes")
-                parts.append(part.data)
-            elif isinstance(part, h11.EndOfMessage):
-                return Reply(event.status_code, headers, b"".join(parts)), None
-            else:
-                raise Gone("the node closed in mid-answer")
+        return Reply(event.status_code, headers, await channel.rest(self.bounds.max_reply_bytes)), None
 
     async def _acquire(self, node: str) -> Channel:
         pool = self.pools.setdefault(node, _Pool())
--- a/cressrock/dispatch/tasks.py
+++ b/cressrock/dispatch/tasks.py
@@ -16,10 +16,10 @@
 from cressrock.dispatch.driver import FOREVER, Decisions, Driver, Observer
 from cressrock.dispatch.keys import KeyMemory
 from cressrock.dispatch.ledger import Ledger
-from cressrock.dispatch.nodeclient import NoConnection, NodeClient, NodePayload, Progress, TooLarge
+from cressrock.dispatch.nodeclient import NoConnection, NodeClient, NodePayload, Progress
 from cressrock.dispatch.operation import Cut, Operation, Reply, Result
 from cressrock.dispatch.transport import Call, Ending
-from cressrock.http.channel import Gone, Headers
+from cressrock.http.channel import Gone, Headers, TooLarge
 from cressrock.interface import Outcome, RequestClass
 
 
--- a/cressrock/dispatch/watch.py
+++ b/cressrock/dispatch/watch.py
@@ -13,11 +13,11 @@
 import anyio
 import h11
 
-from cressrock.dispatch.nodeclient import NoConnection, NodeClient, Progress, TooLarge
+from cressrock.dispatch.nodeclient import NoConnection, NodeClient, Progress
 from cressrock.dispatch.nodelist import ListError, ListState, News
 from cressrock.dispatch.operation import Operation
 from cressrock.dispatch.spool import Store, whole
-from cressrock.http.channel import Gone
+from cressrock.http.channel import Gone, TooLarge
 from cressrock.interface import ListKind, NodeList
 
 
--- a/cressrock/http/channel.py
+++ b/cressrock/http/channel.py
@@ -45,6 +45,10 @@
     """The peer closed or broke the stream before the message was complete."""
 
 
+class TooLarge(Exception):
+    """A message that has to be taken in whole is over its bound."""
+
+
 class Channel:
     """One HTTP/1.1 connection.  `read_ahead` bounds the bytes fed and not yet taken out, in bytes."""
 
@@ -138,6 +142,31 @@
             finally:
                 self._news = None
 
+    async def response(self) -> h11.Response:
+        """Return the head of a final answer, passing over interim ones.  Raises as `event`."""
+        while True:
+            event = await self.event()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise Gone("the peer closed without an answer")
+
+    async def rest(self, most: int) -> bytes:
+        """Return a message's payload whole.  Raises TooLarge over so many bytes, and as `event`."""
+        parts: list[bytes] = []
+        size = 0
+        while True:
+            part = await self.event()
+            if isinstance(part, h11.Data):
+                size += len(part.data)
+                if size > most:
+                    raise TooLarge(f"an answer of over {most} bytes")
+                parts.append(part.data)
+            elif isinstance(part, h11.EndOfMessage):
+                return b"".join(parts)
+            else:
+                raise Gone("the peer closed in mid-answer")
+
     async def send(self, *events: h11.Event) -> None:
         """Write events in one piece where they are small; payloads over 16 KiB are not joined (no copy)."""
         parts: list[bytes] = []
--- a/cressrock/platform/serverlist.py
+++ b/cressrock/platform/serverlist.py
@@ -35,7 +35,7 @@
         version, whole = value.get("seq"), value.get("whole")
         if not isinstance(version, int) or not isinstance(whole, bool):
             raise ListError("seq or whole is missing")
-        if version < self.version and not whole:
+        if version < self.version:
             raise ListError(f"seq {version} is older than {self.version}")
         entries = [self._entry(entry, f"hosts[{i}]") for i, entry in enumerate(value["hosts"])]
         if whole or cached:
--- a/cressrock/platform/watch.py
+++ b/cressrock/platform/watch.py
@@ -4,13 +4,12 @@
 
 import json
 from collections.abc import Callable
-from typing import Any
 
 import anyio
 import h11
 
 from cressrock import net
-from cressrock.http.channel import BROKEN, Channel, Gone
+from cressrock.http.channel import BROKEN, Channel, Gone, TooLarge
 from cressrock.interface import ListKind, NodeList
 from cressrock.platform.serverlist import ListError, ServerList
 
@@ -90,7 +89,7 @@
             try:
                 body = await self._get(f"/v1/servers?after={self.servers.version}&wait_ms={wait_ms}")
                 report = self.servers.receive(json.loads(body), self.clock(), self.wall_ms())
-            except (Gone, h11.RemoteProtocolError, *BROKEN) as failed:
+            except (Gone, TooLarge, h11.RemoteProtocolError, *BROKEN) as failed:
                 problem = str(failed) or type(failed).__name__
             except (ValueError, ListError) as failed:
                 problem = f"unusable answer: {failed}"
@@ -114,27 +113,11 @@
         await channel.send(
             h11.Request(method=b"GET", target=target.encode(), headers=[(b"host", host)]), h11.EndOfMessage()
         )
-        event: Any = await channel.event()
-        while isinstance(event, h11.InformationalResponse):
-            event = await channel.event()
-        if not isinstance(event, h11.Response):
-            raise Gone("closed without an answer")
-        parts: list[bytes] = []
-        size = 0
-        while True:
-            part = await channel.event()
-            if isinstance(part, h11.Data):
-                size += len(part.data)
-                if size > MAX_LIST:
-                    raise Gone(f"an answer of over {MAX_LIST} bytes")
-                parts.append(part.data)
-            elif isinstance(part, h11.EndOfMessage):
-                break
-            else:
-                raise Gone("closed in mid-answer")
+        event = await channel.response()
+        body = await channel.rest(MAX_LIST)
         if event.status_code != 200:
             raise Gone(f"status {event.status_code}")
-        return b"".join(parts)
+        return body
 
     async def _close(self) -> None:
         channel, self._channel = self._channel, None
--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -21,6 +21,7 @@
 from cressrock.dispatch.transport import Denied
 from cressrock.resp import codec
 from cressrock.resp.request import READ, WRITE, Reader, Refused
+from cressrock.resp.room import give_up_unread, leaves_first
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,18 +199,9 @@
         self.clients[client] = None
 
     def _make_room(self) -> bool:
-        """Close a connection that asks nothing: one that never did, else the one idle longest.
-
-        Danger: a client that has just connected asks in a moment.  Closed first, as the newest of a crowd, it
-        loses its request and comes back at once, to be closed again; one that has asked before loses nothing.
-        """
-        young = self.clock() - self.bounds.newcomer_ms
-        worst, lowest = None, (3, 0.0)
-        for client in self.clients:
-            if not client.queue and not client.closing:
-                rank = 1 if client.asked else 0 if client.since <= young else 2
-                if (rank, client.since) < lowest:
-                    worst, lowest = client, (rank, client.since)
+        """Close a connection that asks nothing; False where there is none."""
+        quiet = (c for c in self.clients if not c.queue and not c.closing)
+        worst = leaves_first(quiet, self.clock() - self.bounds.newcomer_ms)
         if worst is None:
             return False
         self.evicted += 1
@@ -235,13 +227,9 @@
             self.asking -= client.asked
 
     def _bound_unread(self) -> None:
-        """Give up the clients that have kept most bytes waiting, until the others' fit the bound."""
-        stuck = {c: c.transport.get_write_buffer_size() for c in self.clients if c.stuck_at is not None}
-        held = sum(stuck.values())
-        for client in sorted(stuck, key=lambda c: (-stuck[c], c.stuck_at)):
-            if held <= self.bounds.max_unread:
-                return
-            held -= stuck[client]
+        """Keep what clients have not read within its bound."""
+        held = {c: c.transport.get_write_buffer_size() for c in self.clients if c.stuck_at is not None}
+        for client in give_up_unread(held, self.bounds.max_unread):
             client.transport.abort()
 
     def _lost(self, client: _Client) -> None:
--- a/tests/test_platform_parts.py
+++ b/tests/test_platform_parts.py
@@ -94,6 +94,7 @@
         [], {}, answer("x"), answer(entry("")), answer(entry("s", block=-1)), answer(entry("s", block="1")),
         answer(entry("s", health="fine")), answer(entry("s", dial="here")), answer(entry("s", born_ms="x")),
         {"seq": "1", "whole": True, "hosts": []}, answer(entry("s"), seq=0, whole=False),
+        answer(entry("s"), seq=0),
     ],
 )  # fmt: skip
 def test_an_unusable_answer_changes_nothing(bad):
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -1,5 +1,7 @@
 """RESP2: the codec on any split of any bytes, requests and answers read strictly."""
 
+from types import SimpleNamespace
+
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -9,6 +11,7 @@
 from cressrock.resp.answers import load_of, outcome_of
 from cressrock.resp.codec import Commands, ErrorLine, Malformed, Replies, Status
 from cressrock.resp.request import Reader, Refused
+from cressrock.resp.room import give_up_unread, leaves_first
 
 WORD = st.binary(max_size=40)
 
@@ -208,3 +211,33 @@
 def test_what_no_client_would_send_is_refused(bad):
     with pytest.raises(Refused):
         READER.read(bad)
+
+
+# --- room
+
+
+def standing(asked, since):
+    return SimpleNamespace(asked=asked, since=since)
+
+
+def test_who_leaves_for_a_new_connection():
+    silent, newcomer = standing(False, 5), standing(False, 90)
+    idle, idler = standing(True, 9), standing(True, 2)
+    everyone = [newcomer, idle, silent, idler]
+    order = []
+    while everyone:
+        worst = leaves_first(everyone, newcomers_since=50)
+        everyone.remove(worst)
+        order.append(worst)
+    assert order == [silent, idler, idle, newcomer] and leaves_first([], 50) is None
+
+
+def test_the_largest_unread_answers_are_given_up_and_no_more_than_needed():
+    class Peer:
+        since = 0.0
+
+    a, b, c = Peer(), Peer(), Peer()
+    held = {a: 60, b: 30, c: 50}
+    assert give_up_unread(held, 140) == []
+    assert give_up_unread(held, 90) == [a]
+    assert give_up_unread(held, 0) == [a, c, b]
