--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -246,9 +246,9 @@
     def _lost(self, client: _Client) -> None:
         self._drop(client)
         for pending in client.queue:
-            if pending.name:
-                self._forget(pending)
-                self.driver.left(pending.name)
+            if name := pending.name:
+                self._forget(pending)  # which takes the name away
+                self.driver.left(name)
         client.queue.clear()
 
     # --- commands
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,7 +15,7 @@
 
 import pytest
 
-from cressrock.dispatch.ledger import Attempt
+from cressrock.dispatch.ledger import Attempt, Verdict
 from cressrock.interface import Node, NodeState, Outcome
 from cressrock.lab.platform import Discovery, StorageServer, answer, config, echo
 from cressrock.platform import program
@@ -349,6 +349,31 @@
         await s.until(lambda: not s.servers[0].open)
         driver = s.program.driver
         assert not driver.slots and not driver.ledger.entries and not s.program.front.owes()
+        # Danger: without the driver's being told, all this comes true as well, at the request's deadline.
+        assert driver.ledger.answers[Verdict.LEFT] == 1
+        assert s.program.observer.outcomes["cancelled"] == 1 and not s.program.observer.outcomes["timeout"]
+
+
+@on_sockets
+async def test_a_request_whose_client_left_while_it_waited_is_never_sent_on():
+    """Whatever keeps it here: a server's turn, the connection to come up, a descriptor."""
+    async with stage(lambda words: None) as s:
+        first, second = await s.client(), await s.client()
+        first.send(read(1))
+        await s.until(lambda: s.servers[0].seen)
+        s.discovery.put("s0", s.servers[0].address, 0, health="leaving")
+        await s.until(lambda: s.program.driver.ledger.nodes["s0"].state is NodeState.DRAINING)
+        second.send(read(2))
+        await s.until(lambda: s.program.front.owes() == 2)
+        second.writer.close()
+        await s.until(lambda: s.program.front.owes() == 1)
+        assert s.program.driver.ledger.answers[Verdict.LEFT] == 1 and len(s.program.driver.slots) == 1
+        s.discovery.put("s0", s.servers[0].address, 0)
+        await s.until(lambda: s.program.driver.ledger.nodes["s0"].state is NodeState.READY)
+        third = await s.client()
+        third.send(read(3))
+        await s.until(lambda: len(s.servers[0].seen) == 2)
+        assert [words[2] for words in s.servers[0].seen] == [ident(1), ident(3)]
 
 
 @on_sockets
