A watch that falls silent is doubted in time, and pushed lists are heard at all

At fault: platform/program.py had the watch subscribed by the decision module alone, which asks only where settings.must_ask; where lists are pushed no call was ever made. Now the watch stands by itself there, is called again within the drain grace, and clients are served once it was answered (or after 3 s): a drain counts as told from a new process's first moment.

Read: a call was given up 2.5 s after its wait of 4 s, and asked anew by the scheduler's backoff later still; what a silent watch misses counts as told after 6 s. A reset ends a call as before. After SIGHUP a failing new address was asked again by the old one's backoff, up to 7.5 s; 4 s are allowed. A discovery that counts anew from a lower seq was never heard again; now the whole list is asked for and taken, and un-tells no drain.

Each mend was taken out of a copy and its test seen to fail.

--- a/cressrock/lab/platform.py
+++ b/cressrock/lab/platform.py
@@ -84,6 +84,9 @@
     calls: int = 0
     address: str = ""
     failing: bool = False
+    silent: set[asyncio.StreamWriter] = field(default_factory=set)  # these never hear anything again
+    halved: bool = False  # the next answer stops in the middle, and its connection falls silent
+    open: set[asyncio.StreamWriter] = field(default_factory=set)
     _changed: dict[str, int] = field(default_factory=dict)
     _news: asyncio.Event = field(default_factory=asyncio.Event)
     _server: asyncio.Server | None = None
@@ -95,6 +98,15 @@
         self.address = f"{host}:{port}"
         return self
 
+    def fall_silent(self) -> None:
+        """Let every open watch fall silent; new connections are served."""
+        self.silent |= self.open
+
+    def reset(self) -> None:
+        """Reset every open connection."""
+        for writer in self.open:
+            writer.transport.abort()
+
     def put(self, host: str, dial: str, block: int, health: str = "active", born_ms: float = 0) -> None:
         """Enter or change an entry; a new version."""
         self.version += 1
@@ -112,6 +124,7 @@
         return {"seq": self.version, "whole": True, "hosts": here}
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open.add(writer)
         try:
             while head := await reader.readuntil(b"\r\n\r\n"):
                 self.calls += 1
@@ -121,11 +134,20 @@
                 target = head.split(b" ")[1].decode()
                 query = dict(pair.split("=") for pair in target.partition("?")[2].split("&") if pair)
                 value = self.whole() if "after" not in query else await self._after(query)
-                body = json.dumps(value).encode()
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+                body = json.dumps(value, indent=2).encode()
+                if writer in self.silent:
+                    continue
+                whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+                if self.halved:
+                    self.halved = False
+                    self.silent.add(writer)
+                    whole = whole[: len(whole) // 2]
+                writer.write(whole)
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.open.discard(writer)
+            self.silent.discard(writer)
             writer.close()
 
     async def _after(self, query: dict[str, str]) -> dict[str, Any]:
--- a/cressrock/platform/program.py
+++ b/cressrock/platform/program.py
@@ -22,6 +22,7 @@
 from cressrock.dispatch.ledger import Attempt, Ledger, Tripped, Verdict
 from cressrock.dispatch.reasons import Reason
 from cressrock.interface import NodeList, Outcome
+from cressrock.platform import silence
 from cressrock.platform.config import Config, ConfigError, parse
 from cressrock.platform.serverlist import ListError, ServerList
 from cressrock.platform.stopping import Stop
@@ -179,6 +180,7 @@
             clock=clock,
             wall_ms=wall_ms,
             log=self.log,
+            pushed_grace_ms=0.0 if settings.must_ask else settings.drain_grace_ms,
         )
         self.driver.subscribe = self.watch.subscribe
         self.turns: Turns | None = None
@@ -193,7 +195,7 @@
 
     async def run(self) -> None:
         """Serve until SIGTERM, then until nothing is owed."""
-        loop = asyncio.get_running_loop()
+        loop, settings = asyncio.get_running_loop(), self.config.settings
         self.turns = Turns(self.driver, loop)
         try:
             self._listed(self.servers.receive(self.config.known, clock(), wall_ms(), cached=True))
@@ -208,6 +210,11 @@
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.watch.run)
             tasks.start_soon(self._sweep)
+            if not settings.must_ask:
+                # Danger: where lists are pushed, a drain counts as told from a new process's first moment on,
+                # and the list that it is started with may be older.
+                with anyio.move_on_after(silence.lost_after(0) / 1000):
+                    await self.watch.heard.wait()
             self.server = server = await loop.create_server(
                 self.front.protocol, *self.config.listen, backlog=1024
             )
--- a/cressrock/platform/serverlist.py
+++ b/cressrock/platform/serverlist.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import Any
 
 from cressrock.interface import ListKind, Node, NodeList, NodeState
@@ -10,6 +11,9 @@
 STATES = {"active": NodeState.READY, "leaving": NodeState.DRAINING, "left": NodeState.GONE}
 
 
+MOST_TOLD = 4096  # as many servers as the ledger holds
+
+
 class ListError(ValueError):
     """An answer of discovery that cannot be used; the text names the place in it."""
 
@@ -21,25 +25,32 @@
         """`zones` are the settings' zone names, in their order."""
         self.zones = {name: index for index, name in enumerate(zones)}
         self.version = -1
+        self.after = -1  # what the next call names as known
         self.dials: dict[str, tuple[str, int]] = {}
         self.moved: list[str] = []  # what the last answer gave another address or start, or took off
         self.left_out: list[str] = []  # what was wrong with entries of the last answer that were left out
         self._starts: dict[str, tuple[float, float]] = {}
+        # What was told of a start of a server besides that it is ready: that it drains or has left.
+        self._told: OrderedDict[tuple[str, float], NodeState] = OrderedDict()
 
     def receive(self, value: Any, now_ms: float, wall_ms: float, *, cached: bool = False) -> NodeList:
         """Take in an answer; `now_ms` and `wall_ms` are the module's clock and Unix time at one instant.
 
         An entry that cannot be used is left out: one bad line must not hide a drain told beside it.  Raises
-        ListError, and changes nothing, where no entry can be used, the answer is malformed or older than the
-        list that is held.
+        ListError, and changes nothing of the list, where no entry can be used, the answer is malformed or
+        older than what is held.  Danger: a discovery that began to count anew would never be heard again.
+        So the whole list is asked for after an older answer, and taken with any version; but it un-tells no
+        drain: what drained or left stays so until it starts again.
         """
         if not isinstance(value, dict) or not isinstance(value.get("hosts"), list):
             raise ListError("hosts is missing")
         version, whole = value.get("seq"), value.get("whole")
         if not isinstance(version, int) or not isinstance(whole, bool):
             raise ListError("seq or whole is missing")
-        if version < self.version:
-            raise ListError(f"seq {version} is older than {self.version}")
+        older = version < self.version
+        if older and not cached and not (whole and self.after < 0):
+            self.after = -1
+            raise ListError(f"seq {version} is older than {self.version}; the whole list is asked for")
         entries, self.left_out = [], []
         for index, entry in enumerate(value["hosts"]):
             try:
@@ -56,9 +67,10 @@
                 self._starts.pop(name, None)
         else:
             self.moved = []
-        self.version = version
+        self.version = self.after = version
         nodes = []
         for name, dial, shard, zone, state, born in entries:
+            state = self._stays(name, born, state, older or cached)
             known = self._starts.get(name)
             replaced = known is not None and (known[0] != born or self.dials.get(name) != dial)
             if replaced or state is NodeState.GONE:
@@ -77,6 +89,20 @@
         kind = ListKind.CACHED if cached else ListKind.COMPLETE if whole else ListKind.CHANGES
         return NodeList(kind, tuple(nodes))
 
+    def _stays(self, name: str, born: float, state: NodeState, doubtful: bool) -> NodeState:
+        """Enter what is told of a start, and return what holds of it; a doubtful list un-tells nothing."""
+        start = (name, born)
+        if doubtful and state is not NodeState.GONE:
+            state = self._told.get(start, state)
+        if state is NodeState.READY:
+            self._told.pop(start, None)
+        else:
+            self._told[start] = state
+            self._told.move_to_end(start)
+            while len(self._told) > MOST_TOLD:
+                self._told.popitem(last=False)
+        return state
+
     def _entry(
         self, entry: Any, place: str
     ) -> tuple[str, tuple[str, int], int, int, NodeState, float]:
--- /dev/null
+++ b/tests/test_platform_watch.py
@@ -0,0 +1,208 @@
+"""A watch that dies: silent from its first byte, reset, answered by half, discovery gone and back."""
+
+import asyncio
+import json
+
+import pytest
+
+from cressrock.interface import ListKind, NodeState
+from cressrock.lab.platform import Discovery, config
+from cressrock.platform import silence
+from cressrock.platform.config import parse
+from cressrock.platform.program import Program
+from cressrock.platform.serverlist import ListError, ServerList
+from tests.test_platform import ident, on_sockets, read, stage
+from tests.test_platform_parts import answer, entry
+
+
+def hurry(monkeypatch):
+    """Keep the clock's order, at a fraction of its length."""
+    monkeypatch.setattr(silence, "WAIT_MS", 100)
+    monkeypatch.setattr(silence, "BEYOND_MS", 1000.0)
+
+
+def test_what_a_silent_watch_misses_is_heard_before_it_counts_as_told():
+    """The platform: 6 s after the silence, or 2 s after the wait is over.  Silence begins with the call."""
+    wait = silence.WAIT_MS
+    counted = max(6000, wait + 2000)
+    assert wait < silence.doubtful_after(wait) < counted
+    assert counted - silence.doubtful_after(wait) >= (counted - wait) / 2
+    # A shorter wait gains nothing: the first of the two clocks is the later one then.
+    assert counted == 6000 == max(6000, wait - 1000 + 2000)
+
+
+def test_a_call_that_fails_is_made_again_while_a_move_counts_and_where_lists_are_pushed():
+    pauses, since = [], 0.0
+    while (pause := silence.pause_after(len(pauses) + 1, since, 0.0)) is not None:
+        pauses.append(pause)
+        since += pause
+    assert since < 4000 and len(pauses) == 5 and pauses == sorted(set(pauses))
+    assert silence.pause_after(1, float("inf"), 0.0) is None
+    assert all(silence.pause_after(n, float("inf"), 250.0) < 250 for n in (1, 40))
+
+
+@on_sockets
+async def test_a_drain_told_while_the_watch_is_silent_is_heard_by_another_call(monkeypatch):
+    hurry(monkeypatch)
+    async with stage() as s:
+        nodes, watch = s.program.driver.ledger.nodes, s.program.watch
+        await s.until(lambda: s.discovery.calls >= 2)
+        s.discovery.fall_silent()
+        s.discovery.put("s0", s.servers[0].address, 0, health="leaving")
+        await s.until(lambda: nodes["s0"].state is NodeState.DRAINING)
+        assert watch.doubted and not watch.failed  # the subscription stands
+        s.discovery.put("s9", s.servers[0].address, 3)  # and goes on, on the new connection
+        await s.until(lambda: "s9" in nodes)
+
+
+@on_sockets
+async def test_half_an_answer_is_no_news_and_the_whole_is_heard_by_another_call(monkeypatch):
+    hurry(monkeypatch)
+    async with stage() as s:
+        nodes, watch = s.program.driver.ledger.nodes, s.program.watch
+        await s.until(lambda: s.discovery.calls >= 2)
+        s.discovery.halved = True
+        s.discovery.put("s0", s.servers[0].address, 0, health="leaving")
+        await s.until(lambda: nodes["s0"].state is NodeState.DRAINING)
+        assert watch.doubted and not watch.failed and not s.discovery.halved
+
+
+@on_sockets
+async def test_a_watch_that_is_reset_is_opened_anew():
+    async with stage() as s:
+        nodes = s.program.driver.ledger.nodes
+        await s.until(lambda: s.discovery.calls >= 2)
+        s.discovery.reset()
+        s.discovery.put("s0", s.servers[0].address, 0, health="leaving")
+        await s.until(lambda: nodes["s0"].state is NodeState.DRAINING)
+        assert s.program.watch.failed == 1 and not s.program.watch.doubted
+
+
+@on_sockets
+async def test_a_late_answer_counts_beside_a_second_call_that_fails(monkeypatch):
+    """Discovery may only be busy: the call that is out is not given up for the one made beside it."""
+    monkeypatch.setattr(silence, "WAIT_MS", 100)
+    async with stage() as s:
+        nodes, watch = s.program.driver.ledger.nodes, s.program.watch
+        await s.until(lambda: s.discovery.calls >= 2)
+        held, after = [], s.discovery._after
+
+        async def slow(query):
+            held.append(query)
+            await go.wait()
+            return await after(query)
+
+        go = asyncio.Event()
+        s.discovery._after = slow
+        await s.until(lambda: held)
+        s.discovery.put("s0", s.servers[0].address, 0, health="leaving")
+        s.discovery.failing = True  # for the second call; the first is out
+        calls = s.discovery.calls
+        await s.until(lambda: watch.doubted and s.discovery.calls > calls)
+        await asyncio.sleep(0.05)  # its failure is there, were it to end both
+        go.set()
+        await s.until(lambda: nodes["s0"].state is NodeState.DRAINING)
+        assert not watch.failed
+
+
+@on_sockets
+async def test_discoverys_end_and_return_with_changes_in_between(monkeypatch):
+    async with stage() as s:
+        nodes = s.program.driver.ledger.nodes
+        await s.until(lambda: s.discovery.calls >= 2)
+        s.discovery.failing = True
+        s.discovery.reset()
+        await s.until(lambda: s.program.watch.failed >= 2)
+        s.discovery.put("s0", s.servers[0].address, 0, health="leaving")
+        s.discovery.failing = False
+        await s.until(lambda: nodes["s0"].state is NodeState.DRAINING)
+
+
+@on_sockets
+async def test_a_new_address_that_fails_at_first_is_asked_again_without_the_old_ones_backoff():
+    """Danger: what it has to tell counts 4 s after SIGHUP, whatever backoff the old address had earned."""
+    async with stage() as s:
+        nodes, watch = s.program.driver.ledger.nodes, s.program.watch
+        await s.until(lambda: s.discovery.calls >= 2)
+        other = await Discovery().start()
+        other.version, other.failing = s.discovery.version, True
+        reported = []
+        watch.listed = reported.append
+        watch.move(parse(json.dumps(config(other))).discovery)
+        await s.until(lambda: watch.failed >= 2)
+        assert not reported  # nobody is asked to back off
+        watch.listed = s.program._listed
+        other.failing = False
+        other.put("s5", s.servers[0].address, 2)
+        await s.until(lambda: "s5" in nodes)
+
+
+def pushed(discovery):
+    value = config(discovery)
+    value["settings"]["membership_mode"] = "push"
+    return value
+
+
+@on_sockets
+async def test_where_lists_are_pushed_the_watch_stands_by_itself_and_before_clients_are_served():
+    """Danger: there a drain counts as told from a new process's first moment on."""
+    async with stage() as s:  # only for its server
+        discovery = await Discovery().start()
+        discovery.put("s0", s.servers[0].address, 0)
+        value = pushed(discovery)
+        discovery.put("s0", s.servers[0].address, 0, health="leaving")  # after the list that it is given
+        answering, after = asyncio.Event(), discovery._after
+
+        async def late(query):
+            await answering.wait()
+            return await after(query)
+
+        discovery._after = late
+        program = Program(parse(json.dumps(value)), "")
+        task = asyncio.create_task(program.run())
+        await s.until(lambda: discovery.calls)
+        assert program.address is None and program.driver.ledger.nodes["s0"].state is NodeState.READY
+        answering.set()
+        await s.until(lambda: program.address is not None)
+        assert program.driver.ledger.nodes["s0"].state is NodeState.DRAINING
+        await s.until(lambda: discovery.calls == 2)
+        discovery.reset()
+        discovery.put("s1", s.servers[0].address, 1)
+        await s.until(lambda: "s1" in program.driver.ledger.nodes)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+@on_sockets
+async def test_a_discovery_that_is_down_does_not_keep_a_pushed_dispatcher_from_starting(monkeypatch):
+    hurry(monkeypatch)
+    async with stage() as s:
+        discovery = await Discovery().start()
+        discovery.put("s0", s.servers[0].address, 0)
+        discovery.failing = True
+        program = Program(parse(json.dumps(pushed(discovery))), "")
+        task = asyncio.create_task(program.run())
+        await s.until(lambda: program.address is not None)
+        s.program.address = program.address
+        client = await s.client()
+        assert await client.ask(read(1)) == b"value of " + ident(1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+
+def test_a_discovery_that_begins_to_count_anew_is_heard_and_un_tells_no_drain():
+    servers = ServerList(("a",))
+    first = answer(entry("s1", health="leaving"), entry("s2"), entry("s3"), seq=50)
+    servers.receive(first, 0, 1e12)
+    servers.receive(answer(entry("s3", health="left"), seq=51, whole=False), 0, 1e12)
+    with pytest.raises(ListError):
+        servers.receive(answer(entry("s2"), seq=7, whole=False), 0, 1e12)  # changes since something else
+    assert servers.version == 51 and servers.after == -1  # the whole list is asked for
+    report = servers.receive(answer(entry("s1"), entry("s3"), entry("s4"), seq=7), 0, 1e12)
+    assert report.kind is ListKind.COMPLETE and servers.version == 7
+    assert {node.name: node.state for node in report.nodes} == {
+        "s1": NodeState.DRAINING, "s3": NodeState.GONE, "s4": NodeState.READY,
+    }  # fmt: skip
+    # A server that started again is another one: its drain is over.
+    report = servers.receive(answer(entry("s1", born_ms=1e12), seq=7), 0, 1e12)
+    assert report.nodes[0].state is NodeState.READY
