--- a/tests/test_platform_watch.py
+++ b/tests/test_platform_watch.py
@@ -100,6 +100,8 @@
         calls = s.discovery.calls
         await s.until(lambda: watch.doubted and s.discovery.calls > calls)
         await asyncio.sleep(0.05)  # its failure is there, were it to end both
+        assert not watch.failed
+        s.discovery.failing = False
         go.set()
         await s.until(lambda: nodes["s0"].state is NodeState.DRAINING)
         assert not watch.failed
