--- /dev/null
+++ b/tests/test_platform_config.py
@@ -0,0 +1,316 @@
+"""The platform's configuration: all of it from the file, no unsafe default, nothing of another customer's."""
+
+import json
+import os
+import subprocess
+import sys
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cressrock.interface import Effect, Group
+from cressrock.lab.platform import Discovery, config
+from cressrock.platform import program
+from cressrock.platform.config import ConfigError, parse
+from cressrock.platform.program import Program
+from cressrock.resp.request import Reader, Refused
+
+ABSENT = object()
+
+
+def made():
+    return config(Discovery(address="127.0.0.1:8500"), listen="127.0.0.1:6379")
+
+
+def put(value, path, what):
+    """Put something at a place such as settings.profiles[1].give_up_ms; ABSENT takes it away."""
+    steps = path.replace("[", ".").replace("]", "").split(".")
+    *way, last = [int(step) if step.isdigit() else step for step in steps]
+    for step in way:
+        value = value[step]
+    if what is ABSENT:
+        del value[last]
+    else:
+        value[last] = what
+
+
+def with_(*changes):
+    value = made()
+    for path, what in changes:
+        put(value, path, what)
+    return value
+
+
+def read(*changes):
+    return parse(json.dumps(with_(*changes)))
+
+
+FIGURES = [
+    "settings.balancers", "settings.period_ms", "settings.profiles[1].give_up_ms",
+    "settings.profiles[0].goal_time_ms", "settings.profiles[0].worth",
+    "settings.profiles[1].repeat_window_ms",
+    "settings.policies[1].weight", "settings.policies[0].reserve", "settings.caps.max_attempts",
+    "settings.caps.connect_timeout_ms", "settings.caps.idle_close_ms", "settings.caps.max_retry_after_ms",
+    "settings.safety.drain_grace_ms", "settings.safety.answer_slack_ms", "settings.safety.ask_every_ms",
+    "settings.safety.cold_from", "settings.safety.tip_after_ms", "settings.safety.warm_up_ms",
+    "settings.family_info.cold_bears", "settings.family_info.most_units", "settings.family_info.usual_units",
+    "settings.family_info.n_shards", "limits.memory_mb", "limits.sockets",
+]  # fmt: skip
+OVER_ZERO = [
+    "settings.balancers", "settings.period_ms", "settings.profiles[1].give_up_ms",
+    "settings.profiles[0].goal_time_ms", "settings.policies[1].weight", "settings.caps.max_attempts",
+    "settings.safety.cold_from", "settings.family_info.most_units", "settings.family_info.usual_units",
+]  # fmt: skip
+NO_FIGURES = [-1, float("nan"), float("inf"), -float("inf"), True, False, "480", [], {}, 10**400]
+BAD = [
+    *((path, what) for path in FIGURES for what in NO_FIGURES if what not in ([], {})),
+    *((path, {"a": 1}) for path in FIGURES),
+    *((path, 0) for path in OVER_ZERO),
+    *((f"limits.{name}", what) for name in ("memory_mb", "sockets") for what in (1e300, None)),
+    *((f"settings.{name}", 2.5) for name in ("balancers", "caps.max_attempts", "family_info.n_shards")),
+    ("settings.balancers", ABSENT),
+    ("settings.balancers", None),
+    ("settings.profiles[1].give_up_ms", ABSENT),
+    ("settings.profiles[0].goal_time_ms", None),
+    ("settings.profiles", []),
+    ("settings.profiles", ABSENT),
+    ("settings.profiles", "read"),
+    ("settings.profiles[1]", "write"),
+    ("settings.profiles[0].name", ABSENT),
+    ("settings.profiles[0].name", ""),
+    ("settings.profiles[0].name", "\ud800"),
+    ("settings.profiles[1].name", "read"),
+    ("settings.profiles[1].semantics", "free of charge"),
+    ("settings.profiles[1].semantics", ["free"]),
+    ("settings.profiles[1].key_scope", 1),
+    ("settings.profiles[1].in_turn", "false"),
+    ("settings.policies", []),
+    ("settings.policies", ABSENT),
+    ("settings.policies[1].name", "silver"),
+    ("settings.policies[1]", None),
+    ("settings.zones", "abc"),
+    ("settings.zones[0]", {"name": "a"}),
+    ("settings.caps", [1]),
+    ("settings.caps.cancel", "no"),
+    ("settings.safety", 3),
+    ("settings.family_info", "stores"),
+    ("settings.family_info.counts_others", 2),
+    ("settings.family_info.writes", [True]),
+    ("settings.family_info.writes", [False, True, True]),
+    ("settings.family_info.writes", {"read": False, "write": True}),
+    ("settings.family_info.writes[1]", "yes"),
+    ("settings", ABSENT),
+    ("limits.sockets", ABSENT),
+    ("limits.sockets", 8),
+    ("limits", []),
+    ("seed", "not hex"),
+    ("seed", 7),
+    ("name", 3),
+    ("known", None),
+    ("listen", "127.0.0.1"),
+    ("listen", "127.0.0.1:²"),
+    ("listen", "127.0.0.1:" + "9" * 5000),
+    ("listen", "127.0.0.1:65536"),
+    ("listen", "a" * 70 + ":6379"),
+    ("listen", "127.0.0.1\0:6379"),
+    ("discovery", "füge.example:8500"),
+    ("discovery", "a..b:8500"),
+]
+
+
+@pytest.fixture
+def main(tmp_path, monkeypatch, capsys):
+    """Return what starts the program with a file, its exit code and its lines.  It never comes to serve."""
+
+    def start(text):
+        file = tmp_path / "config.json"
+        file.write_text(text)
+        monkeypatch.setenv("LB_CONFIG", str(file))
+        monkeypatch.setattr(program.anyio, "run", lambda *args, **kwargs: None)
+        code = program.main()
+        return code, capsys.readouterr().err.splitlines()
+
+    return start
+
+
+def test_main_takes_the_example(main):
+    assert main(json.dumps(made())) == (0, [])
+
+
+@pytest.mark.parametrize("path, what", BAD)
+def test_main_names_the_place_of_what_cannot_be_used_in_one_line(path, what, main):
+    code, (line,) = main(json.dumps(with_((path, what))))
+    assert code == 1
+    assert f"{path}: " in line and "Traceback" not in line and len(line) < 400
+
+
+@pytest.mark.parametrize("text", ["", "[]", "7", "{", '{"a":1}', "[" * 100_000, "9" * 5000, "\ufeff{}"])
+def test_main_says_in_one_line_that_a_file_is_no_configuration(text, main):
+    code, (line,) = main(text)
+    assert code == 1 and "Traceback" not in line
+
+
+def test_the_process_ends_in_one_line_that_names_the_place(tmp_path):
+    file = tmp_path / "config.json"
+    file.write_text(json.dumps(with_(("settings.profiles[1].give_up_ms", "4 s"))))
+    done = subprocess.run(
+        [sys.executable, "-m", "cressrock", "platform"],
+        env=os.environ | {"LB_CONFIG": str(file)}, capture_output=True, text=True, timeout=60,
+    )  # fmt: skip
+    (line,) = done.stderr.splitlines()
+    assert done.returncode == 1 and done.stdout == ""
+    assert "settings.profiles[1].give_up_ms: a number was expected, not '4 s'" in line
+
+
+def test_bytes_that_are_no_text_are_refused():
+    with pytest.raises(ConfigError, match="not JSON"):
+        parse(json.dumps(made()).encode().replace(b"gold", b"g\xffld"))
+    assert parse(json.dumps(made()).encode()) == parse(json.dumps(made()))
+
+
+def places(value, path=()):
+    """Name every place of an object, inner ones too."""
+    found = [path] if path else []
+    for step, inner in value.items() if isinstance(value, dict) else enumerate(value):
+        found += places(inner, (*path, step)) if isinstance(inner, (dict, list)) else [(*path, step)]
+    return found
+
+
+JUNK = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=6)
+    | st.sampled_from([0, -1, 1e308, 5e-324, 10**400, "", "\ud800", "a\nb", "1", "free", ":", "h:1", "²:²"]),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=4), inner, max_size=3),
+    max_leaves=5,
+)  # fmt: skip
+CHANGE = st.tuples(st.sampled_from(places(made())), st.sampled_from(["put", "drop", "twice"]), JUNK)
+
+
+@settings(derandomize=True, max_examples=1500, deadline=None)
+@given(st.lists(CHANGE, min_size=1, max_size=3))
+def test_a_configuration_changed_anywhere_is_taken_or_refused_in_one_line(changes):
+    value = made()
+    for (*way, last), how, what in changes:
+        try:
+            inner = value
+            for step in way:
+                inner = inner[step]
+            if how == "drop":
+                del inner[last]
+            elif how == "twice" and isinstance(inner, list):
+                inner.append(inner[last])
+            else:
+                inner[last] = what
+        except (KeyError, IndexError, TypeError):
+            continue  # an earlier change took the place away
+    try:
+        found = parse(json.dumps(value))
+    except ConfigError as wrong:
+        assert len(str(wrong).splitlines()) == 1 and len(str(wrong)) < 300
+    else:
+        Program(found, "")  # what is taken can be started with
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(st.integers(0, 3000), st.integers(0, 40), st.binary(max_size=6))
+def test_a_configuration_changed_in_its_bytes_is_taken_or_refused(at, taken, put_in):
+    text = json.dumps(made()).encode()
+    try:
+        parse(text[:at] + put_in + text[at + taken :])
+    except ConfigError as wrong:
+        assert len(str(wrong).splitlines()) == 1
+
+
+# --- what may be absent
+
+
+def test_what_is_absent_is_safe_for_the_rules():
+    group = read(("settings.profiles[1].key_scope", ABSENT)).settings.classes[1]
+    assert group.effect is Effect.KEYED and group.repeat_window_ms == 0  # never repeated
+    assert read(("settings.profiles[1].key_scope", None)).settings.classes[1] == group
+    assert read(("settings.profiles[1].repeat_window_ms", ABSENT)).settings.classes[1].repeat_window_ms == 0
+    assert read(("settings.profiles[1].semantics", None)).settings.classes[1].effect is Effect.UNSAFE
+    assert read(("settings.safety.drain_grace_ms", ABSENT)).settings.drain_grace_ms == 0
+    assert read(("settings.caps.max_attempts", ABSENT)).settings.max_attempts == 1
+    assert read(("settings.family_info.most_units", ABSENT)).settings.most_units == 999_999_999
+    unused = read().settings.classes[0]  # a class without keys names no group
+    assert unused.effect is Effect.REPEATABLE and unused.group is Group.SHARD
+
+
+def test_a_cold_servers_bound_without_a_warm_up_neither_grows_nor_ends():
+    found = read(("settings.safety.warm_up_ms", ABSENT)).settings
+    assert found.cold_from == 1 and found.warm_up_ms > 1e300
+    told = read(("settings.safety.warm_up_ms", 0)).settings  # warm at once, as the file says
+    assert told.warm_up_ms == 0 and told.cold_from == 0.2
+    no_rule = read(("settings.safety.warm_up_ms", ABSENT), ("settings.safety.tip_after_ms", ABSENT)).settings
+    assert no_rule.warm_up_ms == 0
+
+
+def test_a_budget_without_its_window_allows_no_further_attempt():
+    assert read(("settings.safety.extra_free", 3)).settings.max_attempts == 1
+    found = read(("settings.safety.extra_free", 3), ("settings.safety.look_back_ms", 2000)).settings
+    assert (found.max_attempts, found.budget_free, found.budget_window_ms) == (3, 3, 2000)
+
+
+def test_absent_times_of_connections_come_from_the_aims():
+    found = read(
+        ("settings.caps", {}),
+        ("settings.profiles[0].goal_time_ms", 730.0),
+        ("settings.profiles[1].goal_time_ms", 910.0),
+    )
+    assert found.idle_close_ms == found.settings.connect_timeout_ms == 730.0
+    assert read().idle_close_ms == 15000 and read().settings.connect_timeout_ms == 250
+
+
+def test_an_aim_above_its_deadline_stands():
+    cls = read(("settings.profiles[0].goal_time_ms", 9000)).settings.classes[0]
+    assert (cls.aim_ms, cls.deadline_ms) == (9000, 5000)
+
+
+def test_a_zone_that_is_named_twice_is_one():
+    assert read(("settings.zones", ["a", "b", "a"])).zones == ("a", "b")
+
+
+# --- names
+
+
+def reader(*changes):
+    found = read(*changes)
+    return Reader(found.settings, list(found.classes), list(found.plans), found.shards)
+
+
+def words(command="IO.IN", body=(), **changes):
+    names = {"c": "read", "t": "gold", "d": 480, "volume": "00000003b4d60021", "units": 2, "shard": 3,
+             "hosts": 2}  # fmt: skip
+    text = ",".join(f"{k}={v}" for k, v in (names | changes).items())
+    return [command.encode(), b"7f3a9c21e0b4d655", b"9b1f03aa5c7e2d41", text.encode(), *body]
+
+
+def test_names_of_any_letters_are_the_bytes_that_clients_send():
+    made_of = reader(("settings.profiles[0].name", "lecture à 100 %"), ("settings.policies[1].name", "金"))
+    found = made_of.read(words(c="lecture à 100 %", t="金"))
+    assert (found.request_class, found.plan) == (0, 1)
+    with pytest.raises(Refused, match="unknown class"):
+        made_of.read(words(c="lecture a 100 %", t="金"))
+
+
+def test_writes_are_told_by_the_classes_order():
+    one, other = reader(), reader(("settings.family_info.writes", [True, False]))
+    assert one.read(words()).request_class == 0
+    with pytest.raises(Refused, match="command"):
+        other.read(words())
+    assert other.read(words("IO.OUT", [b"x"])).request_class == 0
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"c": "lesen"}, {"c": ""}, {"c": "READ"}, {"t": "platinum"}, {"t": ""}, {"hosts": 3}, {"hosts": 0},
+        {"hosts": -1}, {"units": 9}, {"units": 0}, {"units": "nan"}, {"shard": 4}, {"shard": -2}, {"d": 0},
+        {"d": "inf"},
+    ],
+)  # fmt: skip
+def test_what_the_settings_do_not_name_or_bound_is_refused(changes):
+    assert reader().read(words())
+    with pytest.raises(Refused):
+        reader().read(words(**changes))
