--- a/cressrock/platform/config.py
+++ b/cressrock/platform/config.py
@@ -135,6 +135,8 @@
     caps, safety = part(raw, "caps", dict), part(raw, "safety", dict)
     least_aim = min(cls.aim_ms for cls in settings.classes)
     changes: dict[str, Any] = {
+        # Danger: where lists are pushed, they come on a watch all the same, and count as told without one.
+        "must_ask": True,
         # A connection that is not up within the least aim cannot serve it.
         "connect_timeout_ms": settings.connect_timeout_ms or least_aim,
     }
--- a/tests/test_platform_config.py
+++ b/tests/test_platform_config.py
@@ -15,6 +15,7 @@
 from cressrock.platform.config import ConfigError, parse
 from cressrock.platform.program import Program
 from cressrock.resp.request import Reader, Refused
+from tests.test_platform import on_sockets, stage
 
 ABSENT = object()
 
@@ -271,6 +272,20 @@
     assert read(("settings.zones", ["a", "b", "a"])).zones == ("a", "b")
 
 
+@pytest.mark.parametrize("mode", ["push", "ask", None, ABSENT])
+def test_a_watch_is_opened_however_the_settings_say_that_lists_come(mode):
+    """Danger: pushed lists count as told; a dispatcher that waits for them without a call hears no drain."""
+
+    @on_sockets
+    async def test():
+        async with stage(settings=with_(("settings.membership_mode", mode))["settings"]) as s:
+            await s.until(lambda: s.discovery.calls >= 2)
+            s.discovery.put("s9", s.servers[0].address, 2, health="leaving")
+            await s.until(lambda: "s9" in s.program.driver.ledger.told)
+
+    test()
+
+
 # --- names
 
 
