A zone that the settings do not name has a number of its own, and no number is given twice

At fault: ServerList._entry, zones.get(site, 0).

Change: unknown names count on from the settings' zones. A number is kept while a server of the zone is listed and then forgotten, never reused: an attempt that is out remembers its server's. A server that names no zone is in one of its own; only where neither settings nor servers name zones all are in one.

Tests, in tests/test_platform_config.py; each fails with its part taken out: the old default (four tests), numbers kept for ever, numbers reused, one zone for all that name none.

--- a/cressrock/platform/serverlist.py
+++ b/cressrock/platform/serverlist.py
@@ -25,6 +25,9 @@
         self.moved: list[str] = []  # what the last answer gave another address or start, or took off
         self.left_out: list[str] = []  # what was wrong with entries of the last answer that were left out
         self._starts: dict[str, tuple[float, float]] = {}
+        self._sites: dict[str, str] = {}  # of servers whose zone the settings do not name: what stands for it
+        self._others: dict[str, int] = {}  # the numbers of those zones
+        self._numbers = max(1, len(zones))  # given out so far; 0 also stands for having no zones at all
 
     def receive(self, value: Any, now_ms: float, wall_ms: float, *, cached: bool = False) -> NodeList:
         """Take in an answer; `now_ms` and `wall_ms` are the module's clock and Unix time at one instant.
@@ -54,11 +57,13 @@
             for name in self.moved:
                 del self.dials[name]
                 self._starts.pop(name, None)
+                self._sites.pop(name, None)
         else:
             self.moved = []
         self.version = version
         nodes = []
-        for name, dial, shard, zone, state, born in entries:
+        for name, dial, shard, site, state, born in entries:
+            zone = self._zone(name, site)
             known = self._starts.get(name)
             replaced = known is not None and (known[0] != born or self.dials.get(name) != dial)
             if replaced or state is NodeState.GONE:
@@ -70,16 +75,17 @@
             if state is NodeState.GONE:
                 self._starts.pop(name, None)
                 self.dials.pop(name, None)
+                self._sites.pop(name, None)
             else:
                 self._starts[name] = known
                 self.dials[name] = dial
             nodes.append(Node(name, shard, zone, known[1], state))
+        held = set(self._sites.values())
+        self._others = {site: number for site, number in self._others.items() if site in held}
         kind = ListKind.CACHED if cached else ListKind.COMPLETE if whole else ListKind.CHANGES
         return NodeList(kind, tuple(nodes))
 
-    def _entry(
-        self, entry: Any, place: str
-    ) -> tuple[str, tuple[str, int], int, int, NodeState, float]:
+    def _entry(self, entry: Any, place: str) -> tuple[str, tuple[str, int], int, str, NodeState, float]:
         if not isinstance(entry, dict):
             raise ListError(f"{place} is no object")
         name, dial, shard = entry.get("host"), entry.get("dial"), entry.get("block")
@@ -99,5 +105,25 @@
         born = entry.get("born_ms", 0)
         if isinstance(born, bool) or not isinstance(born, (int, float)) or born < 0:
             raise ListError(f"{place}.born_ms is no time")
-        zone = self.zones.get(str(entry.get("site", "")), 0)
-        return name, reach, shard, zone, state, float(born)
+        site = entry.get("site")
+        return name, reach, shard, "" if site is None else str(site), state, float(born)
+
+    def _zone(self, name: str, site: str) -> int:
+        """Return the number of a server's zone.
+
+        Danger: a keyed request may be repeated within its zone alone, so that two zones must never have one
+        number.  A zone that the settings do not name gets one of its own, and no number is given twice: an
+        attempt may remember a server that is long gone.  Numbers are kept as long as a server has them.
+        """
+        known = self.zones.get(site)
+        if known is None and not site and not self.zones:
+            known = 0  # there are no zones
+        if known is not None:
+            self._sites.pop(name, None)
+            return known
+        # Nobody knows where a server is that names no zone: each is in one of its own.
+        key = self._sites[name] = f"site {site}" if site else f"host {name}"
+        if key not in self._others:
+            self._others[key] = self._numbers
+            self._numbers += 1
+        return self._others[key]
--- a/tests/test_platform_config.py
+++ b/tests/test_platform_config.py
@@ -9,11 +9,13 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cressrock.interface import Effect, Group
+from cressrock.dispatch.ledger import Attempt, Ledger
+from cressrock.interface import Effect, Group, Outcome
 from cressrock.lab.platform import Discovery, config
 from cressrock.platform import program
 from cressrock.platform.config import ConfigError, parse
 from cressrock.platform.program import Program
+from cressrock.platform.serverlist import ServerList
 from cressrock.resp.request import Reader, Refused
 from tests.test_platform import on_sockets, stage
 
@@ -329,3 +331,66 @@
     assert reader().read(words())
     with pytest.raises(Refused):
         reader().read(words(**changes))
+
+
+# --- zones
+
+
+def listed(servers, *hosts, seq=1, whole=True, cached=False):
+    """Hand a list of name, zone and perhaps health to a ServerList; return its numbers by name."""
+    entries = []
+    for name, site, *health in hosts:
+        found = {"host": name, "dial": "127.0.0.1:7001", "block": 0, "health": (*health, "active")[0]}
+        entries.append(found if site is ABSENT else found | {"site": site})
+    value = {"seq": seq, "whole": whole, "hosts": entries}
+    return {node.name: node.zone for node in servers.receive(value, 0, 1e12, cached=cached).nodes}
+
+
+def test_no_two_zones_have_one_number():
+    servers = ServerList(("a", "b"))
+    first = listed(servers, ("s1", "a"), ("s2", "x"), ("s3", "y"), ("s4", "x"), ("s5", "b"), cached=True)
+    assert first["s1"] == 0 and first["s5"] == 1 and first["s2"] == first["s4"]
+    assert len({first[name] for name in ("s1", "s2", "s3", "s5")}) == 4
+    # The same zone keeps its number from list to list, and no other has it.
+    later = listed(servers, ("s4", "x"), ("s6", "z"), ("s3", "y"), seq=2, whole=False)
+    assert later["s4"] == first["s2"] and later["s3"] == first["s3"]
+    assert later["s6"] not in first.values()
+
+
+def test_a_server_that_names_no_zone_is_in_none_of_the_others():
+    servers = ServerList(("a", "b"))
+    found = listed(servers, ("s1", ABSENT), ("s2", None), ("s3", ""), ("s4", "a"), ("s5", "host s1"))
+    assert len(set(found.values())) == 5
+    assert listed(servers, ("s1", ABSENT), seq=2, whole=False)["s1"] == found["s1"]
+    # Without zones there is nothing to tell apart, until a server names one.
+    assert listed(ServerList(()), ("s1", ABSENT), ("s2", "")) == {"s1": 0, "s2": 0}
+    assert len(set(listed(ServerList(()), ("s1", ABSENT), ("s2", "x"), ("s3", "y")).values())) == 3
+
+
+def test_a_zones_number_is_never_given_again_and_what_is_gone_is_forgotten():
+    """Danger: an attempt that is out remembers the number of a zone whose last server is gone."""
+    servers, seen = ServerList(("a", "b")), set()
+    for day in range(300):
+        here = listed(servers, (f"s{day}", f"z{day}"), (f"t{day}", ABSENT), seq=2 * day, whole=day % 2 == 0)
+        assert not seen & set(here.values())
+        seen |= set(here.values())
+        listed(servers, (f"s{day}", f"z{day}", "left"), seq=2 * day + 1, whole=False)
+        assert len(servers._others) <= 2 and len(servers._sites) <= 2
+    assert listed(servers, ("s0", "z0"), seq=999)["s0"] not in seen  # back after its number was forgotten
+
+
+def test_a_keyed_request_is_not_repeated_in_a_zone_that_the_settings_do_not_name():
+    """Rule 2: the group is the zone; one zone's server fails, and that of another must not be asked."""
+    value = with_(("settings.profiles[1].key_scope", "zone"), ("settings.zones", ["a", "b"]))["settings"]
+    ledger = Ledger(drain_grace_ms=0, answer_slack_ms=0, max_open=8)
+    servers = ServerList(("a", "b"))
+    entries = [{"host": f"s{i}", "dial": "127.0.0.1:7001", "block": 0, "health": "active", "site": site}
+               for i, site in enumerate(("a", "x", "y", "x"))]  # fmt: skip
+    report = servers.receive({"seq": 1, "whole": True, "hosts": entries}, 0, 1e12)
+    ledger.news(report.nodes, 0, complete=True)
+    cls = parse(json.dumps(made() | {"settings": value})).settings.classes[1]
+    for number, (first, other, allowed) in enumerate([(0, 1, False), (1, 2, False), (1, 3, True)]):
+        ledger.take(f"r{number}", "e", cls, 5000, 0)
+        assert isinstance(ledger.send(f"r{number}", f"s{first}", 0), Attempt)
+        ledger.ended(f"r{number}", 0, Outcome.RESET)
+        assert isinstance(ledger.send(f"r{number}", f"s{other}", 1), Attempt) is allowed
