A file that is read again names the first place in which it is another dispatcher's

Need: Program.reload takes over the discovery of whatever file it finds, also of one that names another dispatcher, address or customer: it would send this customer's requests to another's servers.

Change: foreign(present, found) in platform/config.py, pure. It names the place as the file does, such as settings.profiles[1].give_up_ms; discovery, seed, known and limits may differ, and what the program does not read. A difference in no place that it knows is one all the same. Program.reload does not call it yet.

Tests: each place by itself, both ways round; every field of Config, Settings, classes and plans changed in turn (fails without the last comparison). Two processes of two customers side by side, asked with their own names and figures and with the other's: no mend, a proof; it fails with any of the class, plan, units, hosts or shard checks of resp/request.py taken out.

--- a/cressrock/platform/config.py
+++ b/cressrock/platform/config.py
@@ -4,10 +4,11 @@
 
 import json
 import sys
+from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from typing import Any
 
-from cressrock.config import entries, number, part, settings_from, shown
+from cressrock.config import CLASS_FIGURES, FIGURES, PLAN_FIGURES, entries, number, part, settings_from, shown
 from cressrock.interface import Settings
 
 LEAST_MB = 16  # the program alone takes about so much
@@ -100,6 +101,59 @@
     return host, int(port)
 
 
+def foreign(present: Config, found: Config) -> str | None:
+    """Name the first place in which a file that was read again is not this dispatcher's; None if it is.
+
+    Danger: half a file that was meant for another dispatcher, such as its discovery, would lead this one to
+    servers of another customer.  Discovery, seed, the known list and limits may differ: the first is what a
+    new file is for, limits count from the next start on.  So may what the program does not read.
+    """
+    here, there = dict(_places(present)), dict(_places(found))
+    for place in [*here, *(place for place in there if place not in here)]:
+        old, new = here.get(place), there.get(place)
+        if old != new:
+            return f"{place}: {shown(new)}, this dispatcher has {shown(old)}"
+    # Danger: a figure that is not among the places above must not slip through.
+    same = replace(
+        found,
+        discovery=present.discovery,
+        seed=present.seed,
+        known=present.known,
+        memory_mb=present.memory_mb,
+        sockets=present.sockets,
+    )
+    return None if same == present else "settings: not this dispatcher's"
+
+
+def _places(config: Config) -> Iterator[tuple[str, Any]]:
+    """Everything that makes a configuration this dispatcher's, by its place in the file."""
+    yield "name", config.name
+    yield "listen", config.listen
+    for index, name in enumerate(config.classes):
+        cls, place = config.settings.classes[index], f"settings.profiles[{index}]."
+        yield f"{place}name", name
+        for theirs, ours in CLASS_FIGURES.items():
+            yield f"{place}{theirs}", getattr(cls, ours)
+        yield f"{place}semantics", cls.effect.value
+        yield f"{place}key_scope", cls.group.value
+        yield f"{place}in_turn", cls.in_turn
+        yield f"settings.family_info.writes[{index}]", cls.writes
+    for index, name in enumerate(config.plans):
+        place = f"settings.policies[{index}]."
+        yield f"{place}name", name
+        for theirs, ours in PLAN_FIGURES.items():
+            yield f"{place}{theirs}", getattr(config.settings.plans[index], ours)
+    for index, name in enumerate(config.zones):
+        yield f"settings.zones[{index}]", name
+    for section, names in FIGURES.items():
+        for theirs, ours in names.items():
+            yield f"settings.{section}{'.' if section else ''}{theirs}", getattr(config.settings, ours)
+    yield "settings.caps.cancel", config.settings.may_cancel
+    yield "settings.caps.idle_close_ms", config.idle_close_ms
+    yield "settings.family_info.counts_others", config.settings.tells_others
+    yield "settings.family_info.n_shards", config.shards
+
+
 # --- what the platform alone demands
 
 
--- a/tests/test_platform_config.py
+++ b/tests/test_platform_config.py
@@ -1,9 +1,11 @@
 """The platform's configuration: all of it from the file, no unsafe default, nothing of another customer's."""
 
+import asyncio
 import json
 import os
 import subprocess
 import sys
+from dataclasses import fields, replace
 
 import pytest
 from hypothesis import given, settings
@@ -11,13 +13,14 @@
 
 from cressrock.dispatch.ledger import Attempt, Ledger
 from cressrock.interface import Effect, Group, Outcome
-from cressrock.lab.platform import Discovery, config
+from cressrock.lab.platform import Discovery, StorageServer, config, echo
 from cressrock.platform import program
-from cressrock.platform.config import ConfigError, parse
+from cressrock.platform.config import ConfigError, foreign, parse
 from cressrock.platform.program import Program
 from cressrock.platform.serverlist import ServerList
+from cressrock.resp import codec
 from cressrock.resp.request import Reader, Refused
-from tests.test_platform import on_sockets, stage
+from tests.test_platform import Client, on_sockets, stage
 
 ABSENT = object()
 
@@ -394,3 +397,177 @@
         assert isinstance(ledger.send(f"r{number}", f"s{first}", 0), Attempt)
         ledger.ended(f"r{number}", 0, Outcome.RESET)
         assert isinstance(ledger.send(f"r{number}", f"s{other}", 1), Attempt) is allowed
+
+
+# --- a file that is read again
+
+
+@pytest.mark.parametrize(
+    "path, what",
+    [
+        ("discovery", "127.0.0.1:8501"), ("seed", "00"), ("known", {}), ("limits.memory_mb", 64),
+        ("limits.sockets", 512), ("limits.cores", 0.5), ("settings.unheard_of", 1), ("name", "d0"),
+    ],
+)  # fmt: skip
+def test_a_new_configuration_of_this_dispatcher_is_known_as_its_own(path, what):
+    assert foreign(read(), read((path, what))) is None
+
+
+@pytest.mark.parametrize(
+    "path, what",
+    [
+        ("name", "d1"), ("listen", "127.0.0.1:6380"), ("settings.balancers", 3), ("settings.period_ms", 5),
+        ("settings.profiles[1].name", "scrive"), ("settings.profiles[1].give_up_ms", 4999),
+        ("settings.profiles[0].goal_time_ms", 999), ("settings.profiles[1].semantics", "single_shot"),
+        ("settings.profiles[1].key_scope", "all"), ("settings.profiles[0].in_turn", True),
+        ("settings.profiles[1].repeat_window_ms", 1), ("settings.policies[0].name", "oro"),
+        ("settings.policies[1].ceiling_rate", 8), ("settings.policies[1].value_factor", 3),
+        ("settings.family_info.writes[0]", True), ("settings.zones[0]", "b"),
+        ("settings.safety.drain_grace_ms", 0), ("settings.safety.cold_from", 1),
+        ("settings.caps.cancel", False), ("settings.caps.idle_close_ms", 1),
+        ("settings.caps.connect_timeout_ms", 1), ("settings.caps.max_attempts", 1),
+        ("settings.family_info.n_shards", 5), ("settings.family_info.most_units", 7),
+        ("settings.family_info.counts_others", False),
+    ],
+)  # fmt: skip
+def test_the_place_in_which_a_file_is_anothers_is_named(path, what):
+    present, found = read(), read((path, what))
+    assert foreign(present, found).startswith(f"{path}: ")
+    assert foreign(found, present).startswith(f"{path}: ")
+    assert len(foreign(present, found).splitlines()) == 1
+
+
+def test_more_or_fewer_classes_plans_and_zones_are_anothers():
+    value = made()
+    value["settings"]["profiles"].append(value["settings"]["profiles"][1] | {"name": "third"})
+    value["settings"]["family_info"]["writes"].append(True)
+    more = parse(json.dumps(value))
+    for pair in ((read(), more), (more, read())):
+        assert foreign(*pair).startswith("settings.profiles[2].name: ")
+    swapped = read(("settings.policies", made()["settings"]["policies"][::-1]))
+    assert foreign(read(), swapped).startswith("settings.policies[0].name: ")
+    for changed in ([], ["a", "b"]):
+        assert foreign(read(), read(("settings.zones", changed))).startswith("settings.zones[")
+
+
+def test_no_figure_of_the_settings_can_differ_unseen():
+    present = read()
+    for field in fields(present):
+        if field.name not in ("discovery", "seed", "known", "memory_mb", "sockets", "settings"):
+            assert foreign(present, replace(present, **{field.name: other(getattr(present, field.name))}))
+    for field in fields(present.settings):
+        if field.name not in ("classes", "plans"):
+            changed = {field.name: other(getattr(present.settings, field.name))}
+            assert foreign(present, replace(present, settings=replace(present.settings, **changed)))
+    for part in ("classes", "plans"):
+        first, *rest = getattr(present.settings, part)
+        for field in fields(first):
+            if field.name not in ("effect", "group"):
+                new = replace(first, **{field.name: other(getattr(first, field.name))})
+                assert foreign(
+                    present, replace(present, settings=replace(present.settings, **{part: (new, *rest)}))
+                )
+
+
+def other(value):
+    """Return another value of the same kind."""
+    if isinstance(value, bool):
+        return not value
+    if isinstance(value, tuple):
+        return (*value[:-1], value[-1] + (1 if isinstance(value[-1], int) else "x"))
+    return value + ("x" if isinstance(value, str) else 1)
+
+
+# --- two customers
+
+
+def customer(discovery, **names):
+    """Return a configuration that differs in every word and figure which a client meets."""
+    value = config(discovery, name="elsewhere")
+    s = value["settings"]
+    s["profiles"] = [
+        {"name": "deposito", "goal_time_ms": 18000.0, "give_up_ms": 28000.0, "semantics": "single_shot"},
+        {"name": "consulta", "goal_time_ms": 17000.0, "give_up_ms": 27000.0, "semantics": "free"},
+    ]
+    s["policies"] = [{"name": "ente", "weight": 1.0}, {"name": "ospite", "weight": 3.0}, {"name": "studio"}]
+    s["zones"] = ["molo-a", "molo-b"]
+    s["balancers"] = 5
+    s["family_info"] |= {"writes": [True, False], "n_shards": 2, "most_units": 5}
+    return value
+
+
+def asked(ident, command="IO.IN", body=(), **changes):
+    found = words(command, body, **{"shard": 0} | changes)
+    return codec.command(found[0], found[1], f"{ident:016x}".encode(), *found[3:])
+
+
+async def one_answer(address, command):
+    """Ask on a connection of its own: one that rests is closed, however long the test was held up."""
+    client = Client(*await asyncio.open_connection(*address))
+    try:
+        return await client.ask(command)
+    finally:
+        client.writer.transport.abort()
+
+
+def test_two_customers_processes_side_by_side_know_nothing_of_each_other(tmp_path):
+    @on_sockets
+    async def test():
+        servers, processes, addresses = [], [], []
+        try:
+            for index, make in enumerate((config, customer)):
+                server = await StorageServer(echo).start()
+                servers.append(server)
+                discovery = await Discovery().start()
+                discovery.put("s0", server.address, 0)
+                file = tmp_path / f"{index}.json"
+                file.write_text(json.dumps(make(discovery)))
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "cressrock", "platform",
+                    env=os.environ | {"LB_CONFIG": str(file)}, stderr=asyncio.subprocess.PIPE,
+                )  # fmt: skip
+                processes.append(process)
+                line = ""
+                while "serving at" not in line:
+                    line = (await process.stderr.readline()).decode()
+                    assert line, "the process ended"
+                host, _, port = line.split()[-1].rpartition(":")
+                addresses.append((host, int(port)))
+            ours = [
+                asked(1, c="read", t="gold", d=20000),
+                asked(2, "IO.OUT", [b"x"], c="write", t="silver", d=20000, k="0" * 16),
+                asked(3, c="read", t="gold", units=7, hosts=2, d=20000),
+            ]
+            theirs = [
+                asked(1, "IO.OUT", [b"x"], c="deposito", t="ente", d=29000),
+                asked(2, c="consulta", t="studio", units=5, hosts=5, d=29000),
+            ]
+            mixed = [  # a name of one, a name or figure of the other
+                [asked(4, c="read", t="ente"), asked(5, c="consulta", t="gold"), asked(6, hosts=5)],
+                [asked(4, c="consulta", t="gold"), asked(5, c="read", t="ente"),
+                 asked(6, c="consulta", t="ente", units=7), asked(7, c="consulta", t="ente", shard=3)],
+            ]  # fmt: skip
+            for own, others, address in zip((ours, theirs), (theirs, ours), addresses, strict=True):
+                for command in own:
+                    assert (await one_answer(address, command)).startswith(b"value of ")
+                for command in others:
+                    assert (await one_answer(address, command)).text.startswith("ERR ")
+            for commands, address in zip(mixed, addresses, strict=True):
+                for command in commands:
+                    assert (await one_answer(address, command)).text.startswith("ERR ")
+            # What was refused never reached a server, and what did bears its own customer's deadline.
+            for server, names, count in zip(servers, (b"c=read c=write", b"c=deposito c=consulta"), (3, 2),
+                                            strict=True):  # fmt: skip
+                assert len(server.seen) == count
+                assert all(found[3].split(b",")[0] in names.split() for found in server.seen)
+            waits = [[int(found[3].split(b",d=")[1].split(b",")[0]) for found in s.seen] for s in servers]
+            assert max(waits[0]) <= 5000 < min(waits[1]) and max(waits[1]) <= 28000
+        finally:
+            for process in processes:
+                if process.returncode is None:
+                    process.kill()
+                await process.communicate()
+            for server in servers:
+                await server.stop()
+
+    test()
