--- a/cressrock/platform/program.py
+++ b/cressrock/platform/program.py
@@ -23,7 +23,7 @@
 from cressrock.dispatch.reasons import Reason
 from cressrock.interface import NodeList, Outcome
 from cressrock.platform import silence
-from cressrock.platform.config import Config, ConfigError, parse
+from cressrock.platform.config import Config, ConfigError, foreign, parse
 from cressrock.platform.serverlist import ListError, ServerList
 from cressrock.platform.stopping import Stop
 from cressrock.platform.turns import Turns
@@ -48,6 +48,7 @@
 LINGER_MS = 2000.0  # the platform lets a connection without an open request be closed after so long
 LINGER_BYTES = 16 * MAX_VALUE  # of one peer: what a client that was ended has on its way is far less
 LINGERING = 1 / 8  # of the clients' connections
+SLACK_MS = 50.0  # by which every time limit is longer on sockets
 STEP_S = 0.01  # between two looks at what the stop waits for
 REPORT_MS = 5000.0  # between two lines on the state
 LOG_LINES = 400  # of a kind, in a life
@@ -141,7 +142,7 @@
         self.transport = RespTransport(
             PoolBounds(
                 max_connections=room - most_clients,
-                connect_timeout_ms=settings.connect_timeout_ms or 1000.0,
+                connect_timeout_ms=settings.connect_timeout_ms,
                 idle_close_ms=config.idle_close_ms,
                 max_answer=int(config.memory_mb * ANSWER * (1 << 20)),
                 stall_ms=STALL * min(cls.aim_ms for cls in settings.classes),
@@ -180,7 +181,7 @@
             clock=clock,
             wall_ms=wall_ms,
             log=self.log,
-            pushed_grace_ms=0.0 if settings.must_ask else settings.drain_grace_ms,
+            pushed_grace_ms=0.0 if settings.must_ask else settings.drain_grace_ms + SLACK_MS,
         )
         self.driver.subscribe = self.watch.subscribe
         self.turns: Turns | None = None
@@ -268,15 +269,22 @@
         self.front.welcome = False
 
     def reload(self) -> None:
-        """Read the configuration again: discovery's address can change while the program runs."""
+        """Read the configuration again: discovery's address can change while the program runs.
+
+        A file is taken whole or refused whole, and the log names the place.
+        """
         try:
-            with open(self.path, encoding="utf-8") as file:
+            with open(self.path, "rb") as file:
                 found = parse(file.read())
         except (OSError, ConfigError) as wrong:
             self.log(f"configuration not taken over: {wrong}")
             return
-        if found.settings != self.config.settings or found.listen != self.config.listen:
-            self.log("settings and listen need a restart; discovery is taken over")
+        # Danger: half of a file that was meant for another dispatcher would lead this one to its servers.
+        if (place := foreign(self.config, found)) is not None:
+            self.log(f"configuration not taken over, it is not this dispatcher's: {place}")
+            return
+        if (found.memory_mb, found.sockets) != (self.config.memory_mb, self.config.sockets):
+            self.log("limits count from the next start on")
         self.log(f"discovery is {found.discovery[0]}:{found.discovery[1]}")
         self.watch.move(found.discovery)
 
@@ -326,7 +334,7 @@
     """Run by the platform's environment; 1 and one line where its configuration cannot be used."""
     path = os.environ.get("LB_CONFIG", "")
     try:
-        with open(path, encoding="utf-8") as file:
+        with open(path, "rb") as file:
             config = parse(file.read())
     except (OSError, ConfigError) as wrong:
         print(f"cressrock platform: LB_CONFIG {path!r}: {wrong}", file=sys.stderr)
--- a/cressrock/platform/serverlist.py
+++ b/cressrock/platform/serverlist.py
@@ -32,6 +32,9 @@
         self._starts: dict[str, tuple[float, float]] = {}
         # What was told of a start of a server besides that it is ready: that it drains or has left.
         self._told: OrderedDict[tuple[str, float], NodeState] = OrderedDict()
+        self._sites: dict[str, str] = {}  # of servers whose zone the settings do not name: what stands for it
+        self._others: dict[str, int] = {}  # the numbers of those zones
+        self._numbers = max(1, len(zones))  # given out so far; 0 also stands for having no zones at all
 
     def receive(self, value: Any, now_ms: float, wall_ms: float, *, cached: bool = False) -> NodeList:
         """Take in an answer; `now_ms` and `wall_ms` are the module's clock and Unix time at one instant.
@@ -45,7 +48,7 @@
         if not isinstance(value, dict) or not isinstance(value.get("hosts"), list):
             raise ListError("hosts is missing")
         version, whole = value.get("seq"), value.get("whole")
-        if not isinstance(version, int) or not isinstance(whole, bool):
+        if isinstance(version, bool) or not isinstance(version, int) or not isinstance(whole, bool):
             raise ListError("seq or whole is missing")
         older = version < self.version
         if older and not cached and not (whole and self.after < 0):
@@ -65,12 +68,14 @@
             for name in self.moved:
                 del self.dials[name]
                 self._starts.pop(name, None)
+                self._sites.pop(name, None)
         else:
             self.moved = []
         self.version = self.after = version
         nodes = []
-        for name, dial, shard, zone, state, born in entries:
+        for name, dial, shard, site, state, born in entries:
             state = self._stays(name, born, state, older or cached)
+            zone = self._zone(name, site)
             known = self._starts.get(name)
             replaced = known is not None and (known[0] != born or self.dials.get(name) != dial)
             if replaced or state is NodeState.GONE:
@@ -82,10 +87,13 @@
             if state is NodeState.GONE:
                 self._starts.pop(name, None)
                 self.dials.pop(name, None)
+                self._sites.pop(name, None)
             else:
                 self._starts[name] = known
                 self.dials[name] = dial
             nodes.append(Node(name, shard, zone, known[1], state))
+        held = set(self._sites.values())
+        self._others = {site: number for site, number in self._others.items() if site in held}
         kind = ListKind.CACHED if cached else ListKind.COMPLETE if whole else ListKind.CHANGES
         return NodeList(kind, tuple(nodes))
 
@@ -103,15 +111,13 @@
                 self._told.popitem(last=False)
         return state
 
-    def _entry(
-        self, entry: Any, place: str
-    ) -> tuple[str, tuple[str, int], int, int, NodeState, float]:
+    def _entry(self, entry: Any, place: str) -> tuple[str, tuple[str, int], int, str, NodeState, float]:
         if not isinstance(entry, dict):
             raise ListError(f"{place} is no object")
         name, dial, shard = entry.get("host"), entry.get("dial"), entry.get("block")
         if not isinstance(name, str) or not name:
             raise ListError(f"{place}.host is missing")
-        if not isinstance(shard, int) or shard < 0:
+        if isinstance(shard, bool) or not isinstance(shard, int) or shard < 0:
             raise ListError(f"{place}.block is missing or no whole number")
         state = STATES.get(str(entry.get("health")))
         if state is None:
@@ -123,7 +129,28 @@
                 raise ListError(str(wrong)) from None
             reach = ("", 0)
         born = entry.get("born_ms", 0)
-        if isinstance(born, bool) or not isinstance(born, (int, float)) or born < 0:
+        # Danger: no number equals NaN, so its server would count as started anew with every list.
+        if isinstance(born, bool) or not isinstance(born, (int, float)) or not 0 <= born < float("inf"):
             raise ListError(f"{place}.born_ms is no time")
-        zone = self.zones.get(str(entry.get("site", "")), 0)
-        return name, reach, shard, zone, state, float(born)
+        site = entry.get("site")
+        return name, reach, shard, "" if site is None else str(site), state, float(born)
+
+    def _zone(self, name: str, site: str) -> int:
+        """Return the number of a server's zone.
+
+        Danger: a keyed request may be repeated within its zone alone, so that two zones must never have one
+        number.  A zone that the settings do not name gets one of its own, and no number is given twice: an
+        attempt may remember a server that is long gone.  Numbers are kept as long as a server has them.
+        """
+        known = self.zones.get(site)
+        if known is None and not site and not self.zones:
+            known = 0  # there are no zones
+        if known is not None:
+            self._sites.pop(name, None)
+            return known
+        # Nobody knows where a server is that names no zone: each is in one of its own.
+        key = self._sites[name] = f"site {site}" if site else f"host {name}"
+        if key not in self._others:
+            self._others[key] = self._numbers
+            self._numbers += 1
+        return self._others[key]
--- a/tests/test_platform_endings.py
+++ b/tests/test_platform_endings.py
@@ -231,11 +231,23 @@
 @on_sockets
 async def test_a_flood_whose_connection_is_not_quiet_yet_is_not_ended():
     async with stage() as s:
+        front, took, seen = s.program.front, s.program.front._command, []
+
+        def leave():
+            seen.append([c.parser.more for c in front.clients])
+            front.leave()
+
+        def taking(*what):
+            if front.count == 0 and not seen:
+                seen.append(None)
+                asyncio.get_running_loop().call_soon(leave)  # behind the first part of the flood
+            return took(*what)
+
+        front._command = taking
         sock = raw(s)
         sock.sendall(codec.command(b"PING") * 1000 + read(1))
-        await s.until(lambda: any(c.parser.more for c in s.program.front.clients))
-        s.program.front.leave()
-        assert not any(c.closing for c in s.program.front.clients)
+        await s.until(lambda: len(seen) == 2)
+        assert seen[1] == [True] and not any(c.closing for c in front.clients)
         told = await ends(await opened(s, sock))
         assert len(told) == 1001 and told[-1] == b"value of " + ident(1)
 
