A reload is taken whole or refused whole by a test; a SIGHUP before the loop is kept

Read: between the program's start and its signal handlers a SIGHUP ended the process by the default action. Now it is noted from main's first line and the file read again once the loop can. The test sends it while the configuration is read; without the handler the process ends by it. Files of another name, listen address or settings, and half a file, move nothing and are named in one line; this dispatcher's own is followed.

--- a/cressrock/platform/program.py
+++ b/cressrock/platform/program.py
@@ -208,6 +208,8 @@
         loop.add_signal_handler(signal.SIGTERM, stopped.set)
         loop.add_signal_handler(signal.SIGINT, stopped.set)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if _early:
+            self.reload()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self.watch.run)
             tasks.start_soon(self._sweep)
@@ -330,8 +332,13 @@
         self.log("; ".join([*parts, f"{unused} not used yet"]), "belief")
 
 
+_early: list[int] = []  # SIGHUPs that came before the loop could take them
+
+
 def main() -> int:
     """Run by the platform's environment; 1 and one line where its configuration cannot be used."""
+    # Danger: a SIGHUP that nothing handles ends the process, and one that is ignored loses what it tells.
+    signal.signal(signal.SIGHUP, lambda number, _: _early.append(number))
     path = os.environ.get("LB_CONFIG", "")
     try:
         with open(path, "rb") as file:
--- a/tests/test_platform_watch.py
+++ b/tests/test_platform_watch.py
@@ -2,6 +2,9 @@
 
 import asyncio
 import json
+import os
+import signal
+import sys
 
 import pytest
 
@@ -11,7 +14,7 @@
 from cressrock.platform.config import parse
 from cressrock.platform.program import Program
 from cressrock.platform.serverlist import ListError, ServerList
-from tests.test_platform import ident, on_sockets, read, stage
+from tests.test_platform import ident, on_sockets, read, socket_free, stage
 from tests.test_platform_parts import answer, entry
 
 
@@ -208,3 +211,79 @@
     # A server that started again is another one: its drain is over.
     report = servers.receive(answer(entry("s1", born_ms=1e12), seq=7), 0, 1e12)
     assert report.nodes[0].state is NodeState.READY
+
+
+def files(s, other):
+    """A file that is this dispatcher's with another discovery, and files that are not."""
+    mine = config(s.discovery) | {"discovery": other.address, "seed": "ff", "known": other.whole()}
+    theirs = json.loads(json.dumps(mine))
+    theirs["settings"]["profiles"][0]["give_up_ms"] = 700.0
+    yield "settings.profiles[0].give_up_ms", json.dumps(theirs)
+    yield "name", json.dumps(mine | {"name": "d1"})
+    yield "listen", json.dumps(mine | {"listen": "127.0.0.2:6379"})
+    yield "not JSON", json.dumps(mine)[:-9]
+    yield None, json.dumps(mine)
+
+
+@on_sockets
+async def test_a_file_that_is_not_this_dispatchers_moves_nothing(tmp_path, capsys):
+    """Danger: its discovery would lead to another customer's servers."""
+    async with stage() as s:
+        await s.until(lambda: s.discovery.calls >= 2)
+        other = await Discovery().start()
+        other.version = s.discovery.version
+        s.program.path = str(tmp_path / "config.json")
+        capsys.readouterr()
+        counted = [s.program.log.lines["event"]]
+        for place, text in files(s, other):
+            (tmp_path / "config.json").write_text(text)
+            os.kill(os.getpid(), signal.SIGHUP)
+            await s.until(lambda: s.program.log.lines["event"] > counted[0])
+            counted[0] = s.program.log.lines["event"]
+            lines = capsys.readouterr().err.splitlines()
+            if place is not None:
+                assert len(lines) == 1 and "not taken over" in lines[0] and place in lines[0]
+                assert f"{s.program.watch.address[0]}:{s.program.watch.address[1]}" == s.discovery.address
+        await s.until(lambda: other.calls >= 2)
+
+
+def test_a_sighup_before_the_program_can_take_it_is_taken_then(tmp_path):
+    """Danger: it ends a process that does not handle it yet."""
+    path = tmp_path / "config.json"
+
+    @on_sockets
+    async def test():
+        discovery, other = await Discovery().start(), await Discovery().start()
+        with socket_free() as port:
+            value = config(discovery, listen=f"127.0.0.1:{port}")
+        path.write_text(json.dumps(value))
+        # The signal comes while the configuration is read: the file is replaced and the process told.
+        code = (
+            "import json, os, pathlib, signal, sys\n"
+            "from cressrock.platform import program\n"
+            "read = program.parse\n"
+            "def parse(text):\n"
+            "    found = read(text)\n"
+            "    if program.parse is parse:\n"
+            "        program.parse = read\n"
+            f"        path = pathlib.Path({str(path)!r})\n"
+            f"        path.write_text(json.dumps(json.loads(text) | {{'discovery': {other.address!r}}}))\n"
+            "        os.kill(os.getpid(), signal.SIGHUP)\n"
+            "    return found\n"
+            "program.parse = parse\n"
+            "sys.exit(program.main())\n"
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", code, env=os.environ | {"LB_CONFIG": str(path)},
+            stderr=asyncio.subprocess.DEVNULL,
+        )  # fmt: skip
+        try:
+            while not other.calls:
+                assert process.returncode is None
+                await asyncio.sleep(0.01)
+        finally:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+
+    test()
