A command that comes in pieces has its time from its first byte on

Now its first byte begins the time anew; a connection that never asked stays bounded from connecting on. The test fails without that.

--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -62,7 +62,7 @@
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
         self.parser = codec.Commands()
         self.queue: deque[_Pending] = deque()
-        self.since = front.clock()  # of the last whole command or answer, or of connecting
+        self.since = front.clock()  # of the last command's begin or end, of an answer, or of connecting
         self.asked = False  # a command was whole
         self.stuck_at: float | None = None
         self.closing = False  # nothing more is taken; what is owed is still answered
@@ -87,6 +87,10 @@
         Danger: one read holds thousands of short commands, and every other client's answer waits for them.
         """
         front, now = self.front, self.front.clock()
+        if self.asked and not self.parser.partial:
+            # Danger: a command that comes in pieces begins when its connection has rested almost too long.
+            # One that never asked has its time from connecting on: the platform bounds that.
+            self.since = now
         commands, wrong = self.parser.feed(data, front.bounds.max_pipeline)
         for words in commands:
             self.since = now
--- a/tests/test_platform_endings.py
+++ b/tests/test_platform_endings.py
@@ -129,6 +129,26 @@
         client.writer.close()
 
 
+@on_sockets
+async def test_a_command_that_comes_in_pieces_has_its_time_from_its_first_byte_on():
+    """Danger: it begins when its connection has rested almost for too long, and is cut off half-way."""
+    async with stage() as s:
+        front, clock = s.program.front, s.program.front.clock
+        client, silent = await s.client(), await s.client()
+        assert await client.ask(read(1)) == b"value of " + ident(1)
+        silent.send(read(2)[:20])
+        await s.until(lambda: side(s, silent) and side(s, silent).parser.partial)
+        front.clock = lambda: clock() + front.bounds.silent_ms - 100
+        client.send(read(3)[:40])
+        silent.send(read(2)[20:40])
+        await s.until(lambda: side(s, client).parser.partial and len(side(s, silent).parser._buffer) == 40)
+        front.clock = lambda: clock() + front.bounds.silent_ms + 100
+        front.sweep()
+        client.send(read(3)[40:])
+        assert await client.reply() == b"value of " + ident(3)
+        assert isinstance((await ends(silent))[0], ErrorLine)  # that never asked: bounded from connecting on
+
+
 @on_sockets
 async def test_half_a_command_is_waited_for_while_the_process_leaves():
     async with stage() as s:
