An attempt on a server's connection ends in every instant as what it was

Seen by tests that force the order on loopback sockets, in resp/nodes.py as it was: - `eof_received` let asyncio close in good order, which goes on writing a half-written request after the server's end; it then ended as a reset. Now it is dropped there and never ran. - An answer before the request's last byte was with the kernel was served, and the connection was kept with the rest of the request still leaving ahead of the next one. Now it is no answer; `-BUSY` still counts. - A send that failed at once (`write` closes the transport and returns) ended as a reset, though the kernel took no byte. - `_connect` wrote to a new connection without a look: with its end, or bytes of nobody, already there the request was spent, or answered by them. A finished attempt now lets go of its call, one entry stands for each, and the heap is cleared of done ones.

A repeat of keyed work was held to its window only as its first byte left: `Call.leave_by`, from Ledger.leave_by, is when the last byte has to be with the kernel. What is unsent then, or still connects, ends as MOOT and its connection is reset. The HTTP transport goes on asking `may_leave` alone.

--- a/cressrock/dispatch/driver.py
+++ b/cressrock/dispatch/driver.py
@@ -82,14 +82,16 @@
 class _Call:
     """One attempt in the transport's hands, on its way back to the driver."""
 
-    __slots__ = ("driver", "name", "slot", "attempt", "deadline", "flight")
+    __slots__ = ("driver", "name", "slot", "attempt", "deadline", "leave_by", "flight")
 
     def __init__(self, driver: Driver, name: str, slot: _Slot, attempt: Attempt, deadline: float) -> None:
+        """`leave_by` is asked here: no outcome of an earlier attempt comes in while this one is out."""
         self.driver = driver
         self.name = name
         self.slot = slot
         self.attempt = attempt
         self.deadline = deadline
+        self.leave_by = driver.ledger.leave_by(name, attempt.number)
         self.flight: Flight | None = None
 
     @property
--- a/cressrock/dispatch/ledger.py
+++ b/cressrock/dispatch/ledger.py
@@ -166,16 +166,31 @@
         entry = self.entries.get(name)
         if entry is None or entry.verdict is not None or number >= len(entry.attempts):
             return False
-        attempt, ran = entry.attempts[number], entry.first_run()
-        if self.barred(attempt.node.name, now):
+        if self.barred(entry.attempts[number].node.name, now):
             self.trips[Fence.DRAIN] += 1
             return False
-        late = ran is not None and now - ran.sent_at > entry.cls.repeat_window_ms
-        if ran is not attempt and late and entry.cls.effect is Effect.KEYED:
+        if now > self.leave_by(name, number):
             self.trips[Fence.WINDOW] += 1
             return False
         return True
 
+    def leave_by(self, name: str, number: int) -> float:
+        """Return when the last byte of an attempt that was entered has to have left; infinity: any time.
+
+        Danger: a repeat that waits here, for its connection or for room in the kernel, arrives after the
+        time in which its key makes a node drop it, and takes effect a second time.  A node counts that time
+        from the arrival of the attempt that ran.  Counted here is from the order of the first one that may
+        have run, which comes before its arrival and before any later one's: the safe side.  A drain is about
+        the first byte, which is with the kernel as soon as `may_leave` was asked.
+        """
+        entry = self.entries.get(name)
+        if entry is None or entry.cls.effect is not Effect.KEYED or number >= len(entry.attempts):
+            return float("inf")
+        ran = entry.first_run()
+        if ran is None or ran is entry.attempts[number]:
+            return float("inf")
+        return ran.sent_at + entry.cls.repeat_window_ms
+
     def commit(self, name: str) -> bool:
         """Enter that an answer has begun to leave for the client: it is the final one.  False if too late."""
         entry = self.entries.get(name)
--- a/cressrock/dispatch/transport.py
+++ b/cressrock/dispatch/transport.py
@@ -102,6 +102,14 @@
     def deadline(self) -> float:
         """When the transport stops waiting, in milliseconds on the driver's clock."""
 
+    @property
+    def leave_by(self) -> float:
+        """When its last byte has to have left, on the driver's clock; infinity where nothing bounds it.
+
+        What has not left whole by then must not leave at all: it ends as MOOT, as it never ran.  A transport
+        that cannot tell asks `may_leave` alone.
+        """
+
     def may_leave(self) -> bool:
         """Whether it may still go; has to be asked just before its first byte.  False: it ends as MOOT."""
 
--- a/cressrock/resp/nodes.py
+++ b/cressrock/resp/nodes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import heapq
 import select
 import socket
@@ -22,6 +23,7 @@
 from cressrock.interface import Outcome
 from cressrock.resp import codec
 from cressrock.resp.answers import load_of, outcome_of
+from cressrock.resp.pace import Pace
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +39,7 @@
 
 
 _RESET = struct.pack("ii", 1, 0)
+_NEVER = float("inf")
 
 
 class _Connection(asyncio.Protocol):
@@ -70,6 +73,8 @@
 
     def resume_writing(self) -> None:
         self.unsent = False
+        if self.flight is not None:
+            self.flight.leave_by = _NEVER
 
     def data_received(self, data: bytes) -> None:
         flight = self.flight
@@ -87,11 +92,21 @@
             flight.finish(Outcome.ERROR, f"unreadable: {wrong}")
             return
         if got is None:
-            self.pool._watch_stall(flight)
+            self.pool._watch_pace(flight, self.parser)
             return
         outcome, value, text = outcome_of(got[0])
         used, cost = load_of(got[0])
         self.flight = None
+        if self.unsent:
+            # Danger: a server begins once the last byte is there.  What answers before was made for another
+            # request, or refuses this one; and the rest of it would go on leaving ahead of the next.
+            self.pool.surplus += outcome is not Outcome.FULL
+            self.pool._drop(self)
+            if outcome is Outcome.FULL:
+                flight.finish(outcome, text, value, used, cost)
+            else:
+                flight.finish(Outcome.NO_CONNECTION, "answered before the request was written")
+            return
         if self.parser.partial:
             self.pool.surplus += 1
             self.pool._drop(self)
@@ -104,6 +119,12 @@
         flight.finish(outcome, text, value, used, cost)
 
     def eof_received(self) -> bool:
+        flight = self.flight
+        if flight is not None and self.unsent:
+            # Danger: closed in good order, the rest of the request would still be written, and may then run
+            # though no answer can come any more.
+            self.pool._drop(self)
+            flight.finish(Outcome.NO_CONNECTION, "ended before the request was written")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -128,7 +149,10 @@
 class _Flight:
     """One attempt under way."""
 
-    __slots__ = ("pool", "call", "connection", "connecting", "done", "gives_way_at", "begun_at", "stall_at")
+    __slots__ = (
+        "pool", "call", "connection", "connecting", "done", "deadline", "leave_by", "gives_way_at", "pace",
+        "listed_at",
+    )  # fmt: skip
 
     def __init__(self, pool: RespTransport, call: Call) -> None:
         self.pool = pool
@@ -136,9 +160,12 @@
         self.connection: _Connection | None = None
         self.connecting: asyncio.Task[None] | None = None
         self.done = False
-        self.gives_way_at = 0.0  # while it waits for a descriptor
-        self.begun_at = 0.0  # when the first bytes of an answer that is not whole came
-        self.stall_at = 0.0
+        self.deadline = call.deadline
+        self.leave_by = call.leave_by  # infinity once its last byte is with the kernel
+        self.gives_way_at = _NEVER  # while it waits for a descriptor
+        self.pace: Pace | None = None  # of an answer that is not whole yet
+        self.listed_at = _NEVER  # the next of its limits, as the pool's timer knows it
+        pool.live += 1
 
     def stop(self) -> None:
         """Give it up by order."""
@@ -148,6 +175,15 @@
         """Wait no longer."""
         self._give_up(Outcome.TIMEOUT, Outcome.NO_CONNECTION, text)
 
+    def next_limit(self) -> float:
+        """Return when `pool._check` has to look at it next."""
+        stall_at = _NEVER if self.pace is None else self.pace.gives_up_at()
+        return min(self.deadline, self.leave_by, self.gives_way_at, stall_at)
+
+    def overtake(self) -> None:
+        """Let nothing more of it leave: what is not written whole never ran."""
+        self._give_up(Outcome.MOOT, Outcome.MOOT, "too late to be written whole")
+
     def _give_up(self, sent: Outcome, unsent: Outcome, text: str) -> None:
         if self.done:
             return
@@ -173,9 +209,11 @@
         if self.connection is not None:
             self.connection.flight = None
             self.connection = None
+        self.pool.live -= 1
         # The server answered when it began to: what a broken answer kept us waiting is not its load.
-        lag = (self.begun_at or self.pool.clock()) - self.call.attempt.sent_at
-        self.call.end(Ending(outcome, lag, value, used, cost, text))
+        heard_at = self.pool.clock() if self.pace is None else self.pace.begun_at
+        call, self.call = self.call, cast(Call, None)  # a limit of this one may come up long after its end
+        call.end(Ending(outcome, heard_at - call.attempt.sent_at, value, used, cost, text))
 
 
 class RespTransport:
@@ -196,6 +234,7 @@
         self.reused = 0
         self.surplus = 0
         self.spoilt = 0
+        self.live = 0  # attempts without an outcome
         self._limits: list[tuple[float, int, _Flight]] = []
         self._count = 0
         self._rings: asyncio.TimerHandle | None = None
@@ -207,7 +246,7 @@
         """Begin an attempt on an idle connection, else on a new one."""
         flight = _Flight(self, call)
         node = call.attempt.node.name
-        self._limit(call.deadline, flight)
+        self._limit(flight)
         connection = self._idle(node)
         if connection is not None:
             self.reused += 1
@@ -218,7 +257,7 @@
             # sound servers would use up their attempts in one instant, and be refused beside idle servers.
             flight.gives_way_at = self.clock() + self.bounds.connect_timeout_ms
             self.queue.append(flight)
-            self._limit(min(flight.gives_way_at, call.deadline), flight)
+            self._limit(flight)
         return flight
 
     def _open_for(self, flight: _Flight) -> bool:
@@ -249,10 +288,12 @@
                 if connection is not None:
                     self.reused += 1
                     self.queue.popleft()
+                    flight.gives_way_at = _NEVER
                     self._begin(connection, flight)
                     continue
                 if not self._open_for(flight):
                     return
+            flight.gives_way_at = _NEVER
             self.queue.popleft()
 
     def forget(self, node: str) -> None:
@@ -301,7 +342,11 @@
         except TimeoutError:
             flight.finish(Outcome.NO_CONNECTION, "not accepted in time")
         except OSError as failed:
-            flight.finish(Outcome.NO_CONNECTION, f"{failed.strerror or failed}")
+            # Where this process has no descriptor left, that says nothing of the server.
+            ours = failed.errno in (errno.EMFILE, errno.ENFILE)
+            flight.finish(Outcome.MOOT if ours else Outcome.NO_CONNECTION, f"{failed.strerror or failed}")
+        except ValueError as failed:  # an address that cannot even be written as one
+            flight.finish(Outcome.NO_CONNECTION, f"no address: {failed}")
         finally:
             flight.connecting = None
         if connection is None:
@@ -311,7 +356,10 @@
             self.open[connection] = None
         if flight.done:
             self._release(connection)
-        elif connection.lost:
+        elif not connection.fresh():
+            # Danger: its end, or bytes that answer nothing, came with it.  A request written to it would end
+            # as one that may have run, or be answered by them.
+            self._drop(connection)
             flight.finish(Outcome.NO_CONNECTION, "closed at once")
         else:
             self._begin(connection, flight)
@@ -329,6 +377,11 @@
         flight.connection = connection
         call = flight.call
         connection.transport.write(call.op.command(call.deadline - self.clock()))
+        if connection.transport.is_closing():
+            # The kernel took no byte of it: a write that fails in part still counts what was taken.
+            connection.unsent = True
+        elif not connection.unsent:
+            flight.leave_by = _NEVER
 
     def _release(self, connection: _Connection) -> None:
         """Keep a connection for the next attempt."""
@@ -356,13 +409,23 @@
 
     # --- time-outs: one timer for all
 
-    def _watch_stall(self, flight: _Flight) -> None:
+    def _watch_pace(self, flight: _Flight, parser: codec.Replies) -> None:
         now = self.clock()
-        flight.begun_at = flight.begun_at or now
-        flight.stall_at = now + self.bounds.stall_ms
-        self._limit(flight.stall_at, flight)
-
-    def _limit(self, at: float, flight: _Flight) -> None:
+        if flight.pace is None:
+            flight.pace = Pace(now, flight.deadline, self.bounds.stall_ms)
+        flight.pace.heard(now, len(parser._buffer), parser._need)
+        self._limit(flight)
+
+    def _limit(self, flight: _Flight) -> None:
+        """Have an attempt looked at when the next of its limits is up."""
+        at = flight.next_limit()
+        if at >= flight.listed_at:
+            return  # when that earlier one comes up it is listed again
+        if len(self._limits) > 2 * self.live + 64:
+            # Danger: answered attempts would stand here until their deadlines, thousands a second.
+            self._limits = [entry for entry in self._limits if not entry[2].done]
+            heapq.heapify(self._limits)
+        flight.listed_at = at
         self._count += 1
         heapq.heappush(self._limits, (at, self._count, flight))
         if at < self._rings_at:
@@ -377,27 +440,41 @@
 
     def _ring(self) -> None:
         now = self.clock()
-        self._rings, self._rings_at = None, float("inf")
+        self._rings, self._rings_at = None, -_NEVER  # no limit that is listed meanwhile sets the timer
+        due = []
         while self._limits and (self._limits[0][2].done or self._limits[0][0] <= now):
             at, _, flight = heapq.heappop(self._limits)
-            if flight.done:
-                continue
-            if at == flight.gives_way_at and flight in self.queue:
-                # Reported as a failed connection it would speak against a sound server.
-                flight.finish(Outcome.MOOT, "no descriptor is left for a connection")
-            elif at >= flight.call.deadline:
-                node, sent_at = flight.call.attempt.node.name, flight.call.attempt.sent_at
-                flight.give_up("no answer in time")
-                self._suspect(node, sent_at)
-            elif at == flight.stall_at:
-                self.spoilt += 1
-                connection = flight.connection
-                if connection is not None:
-                    self._drop(connection)
-                flight.finish(Outcome.ERROR, "an answer was begun and not gone on with")
+            if not flight.done and at == flight.listed_at:
+                flight.listed_at = _NEVER
+                due.append(flight)
+        for flight in due:
+            if not flight.done:
+                self._check(flight, now)
+            if not flight.done:
+                self._limit(flight)
+        self._rings_at = _NEVER
         if self._limits:
             self._ring_at(self._limits[0][0])
 
+    def _check(self, flight: _Flight, now: float) -> None:
+        """End an attempt of which a limit is up."""
+        connection = flight.connection
+        if now >= flight.gives_way_at:
+            # Reported as a failed connection it would speak against a sound server.
+            flight.finish(Outcome.MOOT, "no descriptor is left for a connection")
+        elif now >= flight.deadline:
+            node, sent_at = flight.call.attempt.node.name, flight.call.attempt.sent_at
+            flight.give_up("no answer in time")
+            self._suspect(node, sent_at)
+        elif now >= flight.leave_by:
+            # Danger: what is still here would arrive when its repeat is not dropped any more.
+            flight.overtake()
+        elif flight.pace is not None and now >= flight.pace.gives_up_at() and flight.pace.broken(now):
+            self.spoilt += 1
+            if connection is not None:
+                self._drop(connection)
+            flight.finish(Outcome.ERROR, "an answer was begun and not gone on with")
+
     def _suspect(self, node: str, since: float) -> None:
         """Close the idle connections to a server that has not been heard since an attempt was sent.
 
--- a/cressrock/zones/carrier.py
+++ b/cressrock/zones/carrier.py
@@ -113,6 +113,10 @@
     def deadline(self) -> float:
         return self.call.deadline
 
+    @property
+    def leave_by(self) -> float:
+        return self.call.leave_by
+
     def may_leave(self) -> bool:
         return self.call.may_leave()
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -560,6 +560,7 @@
 class Call:
     label = ""
     deadline = 5000.0
+    leave_by = float("inf")
 
     def __init__(self):
         self.op = Reader(*READER).read([b"IO.IN", PIECE, ident(1), names()])
