A connection rests after an answer; none to an old address is kept or used

Read in resp/nodes.py: `_release` made a connection idle at once and `_idle` took the one used last first. A second copy of an answer that comes some milliseconds late was read as the answer to the next request on that connection; the test that forces this order was served the other request's value.

Now a connection is taken again only once it has stayed quiet (resp/quiet.py, pure). The least is 10 ms, the platform's 'some milliseconds' read as a number of one digit; bytes seen later on an idle connection raise it to twice their lateness, at most to the stall time. Among those that have rested the one used last comes first. Cost: one attempt waits for a connection whose rest is over within those 10 ms, which is less than a handshake costs server and request; all others open a new one. What ends while it waits is MOOT, the connection goes back with its rest going on; where that connection ends, speaks or is forgotten, the attempt seeks another. A connection that still rests may be closed to make room, and is never written to.

A connection that came up after the list had moved its server was used for the attempt and kept under the name, and so was one that had carried an attempt meanwhile: `forget` closes idle ones only. Each connection now knows the address that it was dialled at, and is dropped where `dial` says another or none; the attempt that waited for it is dialled anew.

A used connection that is put back unused keeps its time of idling: its server counts on as well. An attempt that timed out while it waited for a descriptor or a rest no longer closes its server's idle connections.

--- a/cressrock/resp/nodes.py
+++ b/cressrock/resp/nodes.py
@@ -24,6 +24,7 @@
 from cressrock.resp import codec
 from cressrock.resp.answers import load_of, outcome_of
 from cressrock.resp.pace import Pace
+from cressrock.resp.quiet import Quiet
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,14 +46,20 @@
 class _Connection(asyncio.Protocol):
     """A connection to a storage server."""
 
-    __slots__ = ("pool", "node", "transport", "parser", "flight", "idle_since", "unsent", "lost")
+    __slots__ = (
+        "pool", "node", "address", "transport", "parser", "flight", "next", "used", "idle_since", "unsent",
+        "lost",
+    )  # fmt: skip
 
-    def __init__(self, pool: RespTransport, node: str) -> None:
+    def __init__(self, pool: RespTransport, node: str, address: tuple[str, int] | None = None) -> None:
         self.pool = pool
         self.node = node
+        self.address = address  # the server's, as it was dialled
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
         self.parser = codec.Replies(pool.bounds.max_answer)
         self.flight: _Flight | None = None
+        self.next: _Flight | None = None  # the attempt that waits for this connection to have been quiet
+        self.used = False  # an answer came on it
         self.idle_since = 0.0
         self.unsent = False  # bytes of the request are still here
         self.lost = False
@@ -81,6 +88,8 @@
         if flight is None:
             # What comes unasked may be the answer to nothing: whatever is read here next could be its rest.
             self.pool.surplus += 1
+            if self.used:
+                self.pool.quiet.heard(self.pool.clock() - self.idle_since)
             self.pool._drop(self)
             return
         self.parser.feed(data)
@@ -97,6 +106,7 @@
         outcome, value, text = outcome_of(got[0])
         used, cost = load_of(got[0])
         self.flight = None
+        self.used = True
         if self.unsent:
             # Danger: a server begins once the last byte is there.  What answers before was made for another
             # request, or refuses this one; and the rest of it would go on leaving ahead of the next.
@@ -151,7 +161,7 @@
 
     __slots__ = (
         "pool", "call", "connection", "connecting", "done", "deadline", "leave_by", "gives_way_at", "pace",
-        "listed_at",
+        "rests_on", "listed_at",
     )  # fmt: skip
 
     def __init__(self, pool: RespTransport, call: Call) -> None:
@@ -164,6 +174,7 @@
         self.leave_by = call.leave_by  # infinity once its last byte is with the kernel
         self.gives_way_at = _NEVER  # while it waits for a descriptor
         self.pace: Pace | None = None  # of an answer that is not whole yet
+        self.rests_on: _Connection | None = None  # which has to have been quiet first
         self.listed_at = _NEVER  # the next of its limits, as the pool's timer knows it
         pool.live += 1
 
@@ -178,7 +189,9 @@
     def next_limit(self) -> float:
         """Return when `pool._check` has to look at it next."""
         stall_at = _NEVER if self.pace is None else self.pace.gives_up_at()
-        return min(self.deadline, self.leave_by, self.gives_way_at, stall_at)
+        rests = self.rests_on
+        ready_at = _NEVER if rests is None else self.pool.quiet.ready_at(rests.idle_since)
+        return min(self.deadline, self.leave_by, self.gives_way_at, stall_at, ready_at)
 
     def overtake(self) -> None:
         """Let nothing more of it leave: what is not written whole never ran."""
@@ -191,7 +204,7 @@
         if self.connecting is not None:
             self.connecting.cancel()
         if connection is None:
-            # What still waits for a descriptor says nothing of its server.
+            # What still waits for a descriptor, or for a connection to rest, says nothing of its server.
             connecting = self.connecting is not None
             self.finish(unsent if connecting else Outcome.MOOT, f"{text} while connecting")
             return
@@ -209,6 +222,10 @@
         if self.connection is not None:
             self.connection.flight = None
             self.connection = None
+        if self.rests_on is not None:
+            rests, self.rests_on = self.rests_on, None
+            rests.next = None
+            self.pool._shelve(rests)
         self.pool.live -= 1
         # The server answered when it began to: what a broken answer kept us waiting is not its load.
         heard_at = self.pool.clock() if self.pace is None else self.pace.begun_at
@@ -226,6 +243,7 @@
         self.bounds = bounds
         self.clock = clock
         self.dial = dial
+        self.quiet = Quiet(bounds.stall_ms)
         self.idle: dict[str, OrderedDict[_Connection, None]] = {}
         self.open: dict[_Connection, None] = {}
         self.opening = 0
@@ -243,22 +261,41 @@
     # --- the driver's side
 
     def start(self, call: Call) -> _Flight:
-        """Begin an attempt on an idle connection, else on a new one."""
+        """Begin an attempt on an idle connection that stayed quiet, else on a new one."""
         flight = _Flight(self, call)
-        node = call.attempt.node.name
         self._limit(flight)
-        connection = self._idle(node)
-        if connection is not None:
-            self.reused += 1
-            self._write(connection, flight)
-            return flight
+        self._seek(flight)
+        return flight
+
+    def _seek(self, flight: _Flight) -> None:
+        """Find a connection for an attempt: one that is ready, one that soon will be, else a new one."""
+        if self._take(flight):
+            return
         if self.queue or not self._open_for(flight):
             # Danger: a cut leaves attempts hanging until every descriptor is held.  Ended at once, those for
             # sound servers would use up their attempts in one instant, and be refused beside idle servers.
             flight.gives_way_at = self.clock() + self.bounds.connect_timeout_ms
             self.queue.append(flight)
             self._limit(flight)
-        return flight
+
+    def _take(self, flight: _Flight) -> bool:
+        """Give an attempt an idle connection, or have it wait for one that has not rested for long enough."""
+        node = flight.call.attempt.node.name
+        connection = self._idle(node)
+        if connection is not None:
+            self.reused += 1
+            self._begin(connection, flight)
+            return True
+        idle = self.idle.get(node)
+        if not idle:
+            return False
+        first = next(iter(idle))
+        if not self.quiet.worth_waiting(self.quiet.ready_at(first.idle_since), self.clock()):
+            return False
+        del idle[first]
+        first.next, flight.rests_on = flight, first
+        self._limit(flight)
+        return True
 
     def _open_for(self, flight: _Flight) -> bool:
         """Begin to connect for an attempt; False where no descriptor is left for it."""
@@ -284,21 +321,16 @@
         while self.queue:
             flight = self.queue[0]
             if not flight.done:
-                connection = self._idle(flight.call.attempt.node.name)
-                if connection is not None:
-                    self.reused += 1
-                    self.queue.popleft()
-                    flight.gives_way_at = _NEVER
-                    self._begin(connection, flight)
-                    continue
-                if not self._open_for(flight):
+                gives_way_at, flight.gives_way_at = flight.gives_way_at, _NEVER
+                if not self._take(flight) and not self._open_for(flight):
+                    flight.gives_way_at = gives_way_at
                     return
-            flight.gives_way_at = _NEVER
             self.queue.popleft()
 
     def forget(self, node: str) -> None:
         """Close the idle connections to a server that is gone, was replaced or cannot be heard."""
-        for connection in list(self.idle.pop(node, ())):
+        waited_for = [connection for connection in self.open if connection.next and connection.node == node]
+        for connection in [*self.idle.pop(node, ()), *waited_for]:
             self._drop(connection)
 
     def sweep(self) -> None:
@@ -315,16 +347,26 @@
     # --- connections
 
     def _idle(self, node: str) -> _Connection | None:
-        """Take the idle connection that was used last."""
+        """Take the connection that was used last among those that have been quiet for long enough."""
         idle = self.idle.get(node)
-        oldest = self.clock() - self.bounds.idle_close_ms * self.bounds.idle_part
-        while idle:
-            connection, _ = idle.popitem()
-            if connection.idle_since > oldest and connection.fresh():
-                return connection
-            self._drop(connection)
+        if not idle:
+            return None
+        now = self.clock()
+        oldest = now - self.bounds.idle_close_ms * self.bounds.idle_part
+        for connection in list(reversed(idle)):
+            if connection.idle_since <= oldest or self._moved(connection):
+                self._drop(connection)
+            elif not connection.used or self.quiet.ready_at(connection.idle_since) <= now:
+                if connection.fresh():
+                    del idle[connection]
+                    return connection
+                self._drop(connection)
         return None
 
+    def _moved(self, connection: _Connection) -> bool:
+        """Whether a connection's server has gone or has another address by now."""
+        return connection.address is not None and self.dial(connection.node) != connection.address
+
     def _make_room(self) -> bool:
         """Close the connection that has idled longest."""
         firsts = [next(iter(idle)) for idle in self.idle.values() if idle]
@@ -338,7 +380,9 @@
         try:
             loop = asyncio.get_running_loop()
             async with asyncio.timeout(self.bounds.connect_timeout_ms / 1000):
-                _, connection = await loop.create_connection(lambda: _Connection(self, node), *address)
+                _, connection = await loop.create_connection(
+                    lambda: _Connection(self, node, address), *address
+                )
         except TimeoutError:
             flight.finish(Outcome.NO_CONNECTION, "not accepted in time")
         except OSError as failed:
@@ -356,6 +400,10 @@
             self.open[connection] = None
         if flight.done:
             self._release(connection)
+        elif self._moved(connection):
+            # Danger: another machine, or none, stands behind the name by now.
+            self._drop(connection)
+            self._seek(flight)
         elif not connection.fresh():
             # Danger: its end, or bytes that answer nothing, came with it.  A request written to it would end
             # as one that may have run, or be answered by them.
@@ -369,7 +417,8 @@
         if flight.call.may_leave():
             self._write(connection, flight)
         else:
-            self._release(connection)
+            # One that was used before goes on idling since then: its server counts on as well.
+            (self._shelve if connection.used else self._release)(connection)
             flight.finish(Outcome.MOOT, "the connection came up too late for it")
 
     def _write(self, connection: _Connection, flight: _Flight) -> None:
@@ -388,11 +437,35 @@
         connection.flight = None
         if connection.lost or connection.transport.is_closing():
             return
+        if self._moved(connection):
+            # Danger: `forget` closed what idled then; this one carried an attempt or came up since.
+            self._drop(connection)
+            return
         connection.idle_since = self.clock()
         self.idle.setdefault(connection.node, OrderedDict())[connection] = None
         if self.queue:
             asyncio.get_running_loop().call_soon(self._admit)
 
+    def _rested(self, flight: _Flight) -> None:
+        """Write an attempt to the connection that it waited for, if that stayed quiet."""
+        connection = cast(_Connection, flight.rests_on)
+        flight.rests_on = connection.next = None
+        if self._moved(connection) or not connection.fresh():
+            self._drop(connection)
+            self._seek(flight)
+        else:
+            self.reused += 1
+            self._begin(connection, flight)
+
+    def _shelve(self, connection: _Connection) -> None:
+        """Put a connection back that an attempt waited for; its rest goes on."""
+        if not connection.lost and not connection.transport.is_closing():
+            idle = self.idle.setdefault(connection.node, OrderedDict())
+            idle[connection] = None
+            idle.move_to_end(connection, last=False)  # it was the one that had rested longest
+            if self.queue:
+                asyncio.get_running_loop().call_soon(self._admit)
+
     def _drop(self, connection: _Connection) -> None:
         """Close a connection; whatever is on its way there or back is given up."""
         connection.flight = None
@@ -406,6 +479,15 @@
         idle = self.idle.get(connection.node)
         if idle is not None:
             idle.pop(connection, None)
+        flight = connection.next
+        if flight is not None:
+            # Nothing of it left: it looks for another connection.
+            connection.next = flight.rests_on = None
+            asyncio.get_running_loop().call_soon(self._seek_again, flight)
+
+    def _seek_again(self, flight: _Flight) -> None:
+        if not flight.done:
+            self._seek(flight)
 
     # --- time-outs: one timer for all
 
@@ -464,11 +546,15 @@
             flight.finish(Outcome.MOOT, "no descriptor is left for a connection")
         elif now >= flight.deadline:
             node, sent_at = flight.call.attempt.node.name, flight.call.attempt.sent_at
+            asked = connection is not None or flight.connecting is not None
             flight.give_up("no answer in time")
-            self._suspect(node, sent_at)
+            if asked:
+                self._suspect(node, sent_at)
         elif now >= flight.leave_by:
             # Danger: what is still here would arrive when its repeat is not dropped any more.
             flight.overtake()
+        elif flight.rests_on is not None and now >= self.quiet.ready_at(flight.rests_on.idle_since):
+            self._rested(flight)
         elif flight.pace is not None and now >= flight.pace.gives_up_at() and flight.pace.broken(now):
             self.spoilt += 1
             if connection is not None:
--- a/tests/test_platform_nodes.py
+++ b/tests/test_platform_nodes.py
@@ -21,6 +21,7 @@
 from cressrock.resp import codec, nodes
 from cressrock.resp.nodes import RespTransport
 from cressrock.resp.pace import Pace
+from cressrock.resp.quiet import LEAST_MS, Quiet
 from tests.test_platform import BOUNDS, Call, carried, on_sockets
 
 FAR = 60000.0
@@ -477,12 +478,10 @@
     pace = Pace(0.0, 4000.0, 50.0)
     pace.heard(0.0, 70, 100)
     now = 0.0
-    while not pace.broken(now):
-        now = pace.gives_up_at()
-        if now < pace.heard_at + 50:
-            continue
-        pace.heard(now - 1, 70, 100)  # never silent for the whole stall time, and no further
-    assert now < 3100
+    while now < 4000 and not pace.broken(now):
+        pace.heard(now, 70, 100)  # never silent for the whole stall time, and no further
+        now += 49
+    assert 3000 <= now < 3100
 
 
 def test_an_answer_by_single_bytes_is_not_read_anew_for_each(monkeypatch):
@@ -532,3 +531,211 @@
     gc.collect()
     assert not [ref for ref in gone if ref() is not None]
     assert len(bench.pool._limits) <= 70 and bench.pool.live == 0
+
+
+# --- a connection rests after an answer
+
+
+def silent(end):
+    """Whether nothing lies in the kernel for a peer's end."""
+    return not select.select([end], [], [], 0)[0]
+
+
+async def rounds(count=20):
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+@on_bench()
+async def test_the_late_copy_of_an_answer_is_never_the_next_requests_answer(bench):
+    """Danger: a client is served the value that was made for another request."""
+    first = await bench.served(b"of the first")
+    call, _ = bench.start()
+    await rounds()
+    first.sendall(answer(b"of the first"))  # some milliseconds later, by the clock of the pool
+    second = await bench.peer.accepted()
+    assert await read(second, 7) == b"request"
+    second.sendall(answer(b"of the second"))
+    assert (await bench.ended(call)).reply == b"of the second"
+    assert bench.pool.surplus == 1 and drained(first) == 0 and len(bench.pool.open) == 1
+
+
+@on_bench()
+async def test_a_connection_that_stayed_quiet_is_used_again_at_once(bench):
+    first = await bench.served()
+    call, _ = bench.start()
+    bench.move(LEAST_MS - 0.1)
+    await rounds()
+    assert silent(first) and not bench.pool.opening
+    bench.move(0.1)
+    assert await read(first, 7) == b"request"
+    first.sendall(answer(b"two"))
+    assert (await bench.ended(call)).reply == b"two"
+    bench.move(LEAST_MS)
+    call, _ = bench.start()
+    assert await read(first, 7) == b"request"
+    assert bench.pool.opened == 1 and bench.pool.reused == 2
+
+
+@on_bench()
+async def test_one_waits_for_a_resting_connection_and_the_next_opens_its_own(bench):
+    first = await bench.served()
+    waiting, _ = bench.start()
+    other, _ = bench.start()
+    second = await bench.peer.accepted()
+    assert await read(second, 7) == b"request" and silent(first)
+    bench.move(LEAST_MS)
+    assert await read(first, 7) == b"request"
+    second.sendall(answer(b"2"))
+    await bench.ended(other)
+    bench.move(1)
+    first.sendall(answer(b"1"))
+    await bench.ended(waiting)
+    bench.move(LEAST_MS - 1)  # the one used last still rests
+    bench.start()
+    assert await read(second, 7) == b"request" and silent(first)
+    bench.pool.forget("s0")
+
+
+@on_bench()
+async def test_bytes_behind_the_last_look_end_a_rest_as_well(bench):
+    """They lie in the kernel when the rest is over: the loop has not read them."""
+    first = await bench.served()
+    call, _ = bench.start()
+    (connection,) = bench.pool.open
+    first.sendall(answer(b"one"))
+    waits(connection)
+    bench.move(LEAST_MS)  # in one step of the loop with their coming
+    second = await bench.peer.accepted()
+    assert await read(second, 7) == b"request"
+    second.sendall(answer(b"two"))
+    assert (await bench.ended(call)).reply == b"two" and drained(first) == 0
+
+
+@on_bench()
+async def test_late_bytes_make_the_rest_longer_and_a_long_one_is_not_waited_for(bench):
+    first = await bench.served()
+    bench.move(20)
+    first.sendall(b"x")
+    while bench.pool.open:
+        await asyncio.sleep(0)
+    assert bench.pool.quiet.rest_ms == 40
+    second = await bench.served()
+    call, _ = bench.start()
+    third = await bench.peer.accepted()
+    assert await read(third, 7) == b"request" and silent(second)
+    bench.pool.bounds = replace(bench.pool.bounds, max_connections=2)
+    other, _ = bench.start()  # no descriptor is left: one that rests makes room, and is not written to
+    fourth = await bench.peer.accepted()
+    assert await read(fourth, 7) == b"request" and drained(second) == 0
+    for end, waiting in ((third, call), (fourth, other)):
+        end.sendall(answer(b"x"))
+        assert (await bench.ended(waiting)).outcome is Outcome.OK
+
+
+def test_what_is_learnt_of_late_bytes_is_bounded_and_kept():
+    quiet = Quiet(50.0)
+    assert quiet.ready_at(100.0) == 100 + LEAST_MS
+    quiet.heard(2.0)
+    assert quiet.rest_ms == LEAST_MS
+    quiet.heard(12.0)
+    quiet.heard(7.0)
+    assert quiet.rest_ms == 24 and not quiet.worth_waiting(24.0, 0.0) and quiet.worth_waiting(24.0, 14.0)
+    quiet.heard(9000.0)
+    assert quiet.rest_ms == 50
+    assert Quiet(1.0).rest_ms == LEAST_MS  # a bound under the least changes nothing
+
+
+def test_an_attempt_given_up_while_its_connection_rests_was_never_sent():
+    for order in ("stop", "deadline", "leave_by", "may_leave"):
+
+        @on_bench()
+        async def test(bench, order=order):
+            first = await bench.served()
+            at = bench.now[0] + LEAST_MS / 2
+            limits = {order: at} if order in ("deadline", "leave_by") else {}
+            call, flight = bench.start(**limits)
+            call.may_leave = lambda: order != "may_leave"
+            bench.move(LEAST_MS / 2)
+            if order == "stop":
+                flight.stop()
+            if order == "may_leave":
+                bench.move(LEAST_MS / 2)
+            assert (await bench.ended(call)).outcome is Outcome.MOOT
+            bench.move(LEAST_MS / 2)
+            assert silent(first)
+            call, _ = bench.start()  # its rest has gone on
+            assert await read(first, 7) == b"request" and bench.pool.opened == 1
+
+        test()
+
+
+@on_bench()
+async def test_an_attempt_whose_resting_connection_ends_goes_to_another(bench):
+    first = await bench.served()
+    call, _ = bench.start()
+    reset(first)
+    second = await bench.peer.accepted()
+    assert await read(second, 7) == b"request" and not call.endings
+    assert len(bench.pool.open) == 1
+
+
+# --- a server that moves
+
+
+@pytest.mark.parametrize("waits_for_rest", [False, True])
+def test_a_connection_to_an_old_address_is_not_used_for_its_new_server(monkeypatch, waits_for_rest):
+    """Danger: the request reaches a machine that the list does not name any more."""
+
+    @on_bench()
+    async def test(bench):
+        other = Peer()
+
+        def moves(connection=None):
+            bench.addresses["s0"] = other.address
+            bench.pool.forget("s0")
+
+        if waits_for_rest:
+            first = await bench.served()
+            call, _ = bench.start()
+            moves()
+        else:
+            with monkeypatch.context() as patch:
+                as_it_comes_up(patch, moves)
+                call, _ = bench.start()
+                first = await bench.peer.accepted()
+                while not bench.pool.opened:
+                    await asyncio.sleep(0)
+        second = other.listener.accept()[0] if await asyncio.to_thread(waiting, other) else None
+        assert await read(second, 7) == b"request" and drained(first) == 0
+        second.sendall(answer(b"there"))
+        assert (await bench.ended(call)).reply == b"there"
+        (connection,) = bench.pool.open
+        assert connection.address == other.address
+        second.close()
+        other.close()
+
+    test()
+
+
+def waiting(peer):
+    return bool(select.select([peer.listener], [], [], 20)[0])
+
+
+@pytest.mark.parametrize("gone", [False, True])
+def test_a_connection_that_carried_an_attempt_while_its_server_moved_is_not_kept(gone):
+    @on_bench()
+    async def test(bench):
+        call, _ = bench.start()
+        end = await bench.peer.accepted()
+        await read(end, 7)
+        if gone:
+            del bench.addresses["s0"]
+        else:
+            bench.addresses["s0"] = ("127.0.0.1", 1)
+        bench.pool.forget("s0")
+        end.sendall(answer(b"old"))
+        assert (await bench.ended(call)).reply == b"old"  # it is the answer for this request
+        assert not bench.pool.open and not bench.pool.idle.get("s0")
+
+    test()
