--- a/cressrock/resp/nodes.py
+++ b/cressrock/resp/nodes.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import heapq
 import select
 import socket
@@ -22,6 +23,8 @@
 from cressrock.interface import Outcome
 from cressrock.resp import codec
 from cressrock.resp.answers import load_of, outcome_of
+from cressrock.resp.pace import Pace
+from cressrock.resp.quiet import Quiet
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,19 +40,26 @@
 
 
 _RESET = struct.pack("ii", 1, 0)
+_NEVER = float("inf")
 
 
 class _Connection(asyncio.Protocol):
     """A connection to a storage server."""
 
-    __slots__ = ("pool", "node", "transport", "parser", "flight", "idle_since", "unsent", "lost")
+    __slots__ = (
+        "pool", "node", "address", "transport", "parser", "flight", "next", "used", "idle_since", "unsent",
+        "lost",
+    )  # fmt: skip
 
-    def __init__(self, pool: RespTransport, node: str) -> None:
+    def __init__(self, pool: RespTransport, node: str, address: tuple[str, int] | None = None) -> None:
         self.pool = pool
         self.node = node
+        self.address = address  # the server's, as it was dialled
         self.transport: asyncio.Transport = cast(asyncio.Transport, None)
         self.parser = codec.Replies(pool.bounds.max_answer)
         self.flight: _Flight | None = None
+        self.next: _Flight | None = None  # the attempt that waits for this connection to have been quiet
+        self.used = False  # an answer came on it
         self.idle_since = 0.0
         self.unsent = False  # bytes of the request are still here
         self.lost = False
@@ -70,12 +80,16 @@
 
     def resume_writing(self) -> None:
         self.unsent = False
+        if self.flight is not None:
+            self.flight.leave_by = _NEVER
 
     def data_received(self, data: bytes) -> None:
         flight = self.flight
         if flight is None:
             # What comes unasked may be the answer to nothing: whatever is read here next could be its rest.
             self.pool.surplus += 1
+            if self.used:
+                self.pool.quiet.heard(self.pool.clock() - self.idle_since)
             self.pool._drop(self)
             return
         self.parser.feed(data)
@@ -87,11 +101,22 @@
             flight.finish(Outcome.ERROR, f"unreadable: {wrong}")
             return
         if got is None:
-            self.pool._watch_stall(flight)
+            self.pool._watch_pace(flight, self.parser)
             return
         outcome, value, text = outcome_of(got[0])
         used, cost = load_of(got[0])
         self.flight = None
+        self.used = True
+        if self.unsent:
+            # Danger: a server begins once the last byte is there.  What answers before was made for another
+            # request, or refuses this one; and the rest of it would go on leaving ahead of the next.
+            self.pool.surplus += outcome is not Outcome.FULL
+            self.pool._drop(self)
+            if outcome is Outcome.FULL:
+                flight.finish(outcome, text, value, used, cost)
+            else:
+                flight.finish(Outcome.NO_CONNECTION, "answered before the request was written")
+            return
         if self.parser.partial:
             self.pool.surplus += 1
             self.pool._drop(self)
@@ -104,6 +129,12 @@
         flight.finish(outcome, text, value, used, cost)
 
     def eof_received(self) -> bool:
+        flight = self.flight
+        if flight is not None and self.unsent:
+            # Danger: closed in good order, the rest of the request would still be written, and may then run
+            # though no answer can come any more.
+            self.pool._drop(self)
+            flight.finish(Outcome.NO_CONNECTION, "ended before the request was written")
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -128,7 +159,10 @@
 class _Flight:
     """One attempt under way."""
 
-    __slots__ = ("pool", "call", "connection", "connecting", "done", "gives_way_at", "begun_at", "stall_at")
+    __slots__ = (
+        "pool", "call", "connection", "connecting", "done", "deadline", "leave_by", "gives_way_at", "pace",
+        "rests_on", "listed_at",
+    )  # fmt: skip
 
     def __init__(self, pool: RespTransport, call: Call) -> None:
         self.pool = pool
@@ -136,9 +170,13 @@
         self.connection: _Connection | None = None
         self.connecting: asyncio.Task[None] | None = None
         self.done = False
-        self.gives_way_at = 0.0  # while it waits for a descriptor
-        self.begun_at = 0.0  # when the first bytes of an answer that is not whole came
-        self.stall_at = 0.0
+        self.deadline = call.deadline
+        self.leave_by = call.leave_by  # infinity once its last byte is with the kernel
+        self.gives_way_at = _NEVER  # while it waits for a descriptor
+        self.pace: Pace | None = None  # of an answer that is not whole yet
+        self.rests_on: _Connection | None = None  # which has to have been quiet first
+        self.listed_at = _NEVER  # the next of its limits, as the pool's timer knows it
+        pool.live += 1
 
     def stop(self) -> None:
         """Give it up by order."""
@@ -148,6 +186,17 @@
         """Wait no longer."""
         self._give_up(Outcome.TIMEOUT, Outcome.NO_CONNECTION, text)
 
+    def next_limit(self) -> float:
+        """Return when `pool._check` has to look at it next."""
+        stall_at = _NEVER if self.pace is None else self.pace.gives_up_at()
+        rests = self.rests_on
+        ready_at = _NEVER if rests is None else self.pool.quiet.ready_at(rests.idle_since)
+        return min(self.deadline, self.leave_by, self.gives_way_at, stall_at, ready_at)
+
+    def overtake(self) -> None:
+        """Let nothing more of it leave: what is not written whole never ran."""
+        self._give_up(Outcome.MOOT, Outcome.MOOT, "too late to be written whole")
+
     def _give_up(self, sent: Outcome, unsent: Outcome, text: str) -> None:
         if self.done:
             return
@@ -155,7 +204,7 @@
         if self.connecting is not None:
             self.connecting.cancel()
         if connection is None:
-            # What still waits for a descriptor says nothing of its server.
+            # What still waits for a descriptor, or for a connection to rest, says nothing of its server.
             connecting = self.connecting is not None
             self.finish(unsent if connecting else Outcome.MOOT, f"{text} while connecting")
             return
@@ -173,9 +222,15 @@
         if self.connection is not None:
             self.connection.flight = None
             self.connection = None
+        if self.rests_on is not None:
+            rests, self.rests_on = self.rests_on, None
+            rests.next = None
+            self.pool._shelve(rests)
+        self.pool.live -= 1
         # The server answered when it began to: what a broken answer kept us waiting is not its load.
-        lag = (self.begun_at or self.pool.clock()) - self.call.attempt.sent_at
-        self.call.end(Ending(outcome, lag, value, used, cost, text))
+        heard_at = self.pool.clock() if self.pace is None else self.pace.begun_at
+        call, self.call = self.call, cast(Call, None)  # a limit of this one may come up long after its end
+        call.end(Ending(outcome, heard_at - call.attempt.sent_at, value, used, cost, text))
 
 
 class RespTransport:
@@ -188,6 +243,7 @@
         self.bounds = bounds
         self.clock = clock
         self.dial = dial
+        self.quiet = Quiet(bounds.stall_ms)
         self.idle: dict[str, OrderedDict[_Connection, None]] = {}
         self.open: dict[_Connection, None] = {}
         self.opening = 0
@@ -196,6 +252,7 @@
         self.reused = 0
         self.surplus = 0
         self.spoilt = 0
+        self.live = 0  # attempts without an outcome
         self._limits: list[tuple[float, int, _Flight]] = []
         self._count = 0
         self._rings: asyncio.TimerHandle | None = None
@@ -204,22 +261,41 @@
     # --- the driver's side
 
     def start(self, call: Call) -> _Flight:
-        """Begin an attempt on an idle connection, else on a new one."""
+        """Begin an attempt on an idle connection that stayed quiet, else on a new one."""
         flight = _Flight(self, call)
-        node = call.attempt.node.name
-        self._limit(call.deadline, flight)
-        connection = self._idle(node)
-        if connection is not None:
-            self.reused += 1
-            self._write(connection, flight)
-            return flight
+        self._limit(flight)
+        self._seek(flight)
+        return flight
+
+    def _seek(self, flight: _Flight) -> None:
+        """Find a connection for an attempt: one that is ready, one that soon will be, else a new one."""
+        if self._take(flight):
+            return
         if self.queue or not self._open_for(flight):
             # Danger: a cut leaves attempts hanging until every descriptor is held.  Ended at once, those for
             # sound servers would use up their attempts in one instant, and be refused beside idle servers.
             flight.gives_way_at = self.clock() + self.bounds.connect_timeout_ms
             self.queue.append(flight)
-            self._limit(min(flight.gives_way_at, call.deadline), flight)
-        return flight
+            self._limit(flight)
+
+    def _take(self, flight: _Flight) -> bool:
+        """Give an attempt an idle connection, or have it wait for one that has not rested for long enough."""
+        node = flight.call.attempt.node.name
+        connection = self._idle(node)
+        if connection is not None:
+            self.reused += 1
+            self._begin(connection, flight)
+            return True
+        idle = self.idle.get(node)
+        if not idle:
+            return False
+        first = next(iter(idle))
+        if not self.quiet.worth_waiting(self.quiet.ready_at(first.idle_since), self.clock()):
+            return False
+        del idle[first]
+        first.next, flight.rests_on = flight, first
+        self._limit(flight)
+        return True
 
     def _open_for(self, flight: _Flight) -> bool:
         """Begin to connect for an attempt; False where no descriptor is left for it."""
@@ -245,19 +321,16 @@
         while self.queue:
             flight = self.queue[0]
             if not flight.done:
-                connection = self._idle(flight.call.attempt.node.name)
-                if connection is not None:
-                    self.reused += 1
-                    self.queue.popleft()
-                    self._begin(connection, flight)
-                    continue
-                if not self._open_for(flight):
+                gives_way_at, flight.gives_way_at = flight.gives_way_at, _NEVER
+                if not self._take(flight) and not self._open_for(flight):
+                    flight.gives_way_at = gives_way_at
                     return
             self.queue.popleft()
 
     def forget(self, node: str) -> None:
         """Close the idle connections to a server that is gone, was replaced or cannot be heard."""
-        for connection in list(self.idle.pop(node, ())):
+        waited_for = [connection for connection in self.open if connection.next and connection.node == node]
+        for connection in [*self.idle.pop(node, ()), *waited_for]:
             self._drop(connection)
 
     def sweep(self) -> None:
@@ -274,16 +347,26 @@
     # --- connections
 
     def _idle(self, node: str) -> _Connection | None:
-        """Take the idle connection that was used last."""
+        """Take the connection that was used last among those that have been quiet for long enough."""
         idle = self.idle.get(node)
-        oldest = self.clock() - self.bounds.idle_close_ms * self.bounds.idle_part
-        while idle:
-            connection, _ = idle.popitem()
-            if connection.idle_since > oldest and connection.fresh():
-                return connection
-            self._drop(connection)
+        if not idle:
+            return None
+        now = self.clock()
+        oldest = now - self.bounds.idle_close_ms * self.bounds.idle_part
+        for connection in list(reversed(idle)):
+            if connection.idle_since <= oldest or self._moved(connection):
+                self._drop(connection)
+            elif not connection.used or self.quiet.ready_at(connection.idle_since) <= now:
+                if connection.fresh():
+                    del idle[connection]
+                    return connection
+                self._drop(connection)
         return None
 
+    def _moved(self, connection: _Connection) -> bool:
+        """Whether a connection's server has gone or has another address by now."""
+        return connection.address is not None and self.dial(connection.node) != connection.address
+
     def _make_room(self) -> bool:
         """Close the connection that has idled longest."""
         firsts = [next(iter(idle)) for idle in self.idle.values() if idle]
@@ -297,11 +380,17 @@
         try:
             loop = asyncio.get_running_loop()
             async with asyncio.timeout(self.bounds.connect_timeout_ms / 1000):
-                _, connection = await loop.create_connection(lambda: _Connection(self, node), *address)
+                _, connection = await loop.create_connection(
+                    lambda: _Connection(self, node, address), *address
+                )
         except TimeoutError:
             flight.finish(Outcome.NO_CONNECTION, "not accepted in time")
         except OSError as failed:
-            flight.finish(Outcome.NO_CONNECTION, f"{failed.strerror or failed}")
+            # Where this process has no descriptor left, that says nothing of the server.
+            ours = failed.errno in (errno.EMFILE, errno.ENFILE)
+            flight.finish(Outcome.MOOT if ours else Outcome.NO_CONNECTION, f"{failed.strerror or failed}")
+        except ValueError as failed:  # an address that cannot even be written as one
+            flight.finish(Outcome.NO_CONNECTION, f"no address: {failed}")
         finally:
             flight.connecting = None
         if connection is None:
@@ -311,7 +400,14 @@
             self.open[connection] = None
         if flight.done:
             self._release(connection)
-        elif connection.lost:
+        elif self._moved(connection):
+            # Danger: another machine, or none, stands behind the name by now.
+            self._drop(connection)
+            self._seek(flight)
+        elif not connection.fresh():
+            # Danger: its end, or bytes that answer nothing, came with it.  A request written to it would end
+            # as one that may have run, or be answered by them.
+            self._drop(connection)
             flight.finish(Outcome.NO_CONNECTION, "closed at once")
         else:
             self._begin(connection, flight)
@@ -321,7 +417,8 @@
         if flight.call.may_leave():
             self._write(connection, flight)
         else:
-            self._release(connection)
+            # One that was used before goes on idling since then: its server counts on as well.
+            (self._shelve if connection.used else self._release)(connection)
             flight.finish(Outcome.MOOT, "the connection came up too late for it")
 
     def _write(self, connection: _Connection, flight: _Flight) -> None:
@@ -329,17 +426,46 @@
         flight.connection = connection
         call = flight.call
         connection.transport.write(call.op.command(call.deadline - self.clock()))
+        if connection.transport.is_closing():
+            # The kernel took no byte of it: a write that fails in part still counts what was taken.
+            connection.unsent = True
+        elif not connection.unsent:
+            flight.leave_by = _NEVER
 
     def _release(self, connection: _Connection) -> None:
         """Keep a connection for the next attempt."""
         connection.flight = None
         if connection.lost or connection.transport.is_closing():
             return
+        if self._moved(connection):
+            # Danger: `forget` closed what idled then; this one carried an attempt or came up since.
+            self._drop(connection)
+            return
         connection.idle_since = self.clock()
         self.idle.setdefault(connection.node, OrderedDict())[connection] = None
         if self.queue:
             asyncio.get_running_loop().call_soon(self._admit)
 
+    def _rested(self, flight: _Flight) -> None:
+        """Write an attempt to the connection that it waited for, if that stayed quiet."""
+        connection = cast(_Connection, flight.rests_on)
+        flight.rests_on = connection.next = None
+        if self._moved(connection) or not connection.fresh():
+            self._drop(connection)
+            self._seek(flight)
+        else:
+            self.reused += 1
+            self._begin(connection, flight)
+
+    def _shelve(self, connection: _Connection) -> None:
+        """Put a connection back that an attempt waited for; its rest goes on."""
+        if not connection.lost and not connection.transport.is_closing():
+            idle = self.idle.setdefault(connection.node, OrderedDict())
+            idle[connection] = None
+            idle.move_to_end(connection, last=False)  # it was the one that had rested longest
+            if self.queue:
+                asyncio.get_running_loop().call_soon(self._admit)
+
     def _drop(self, connection: _Connection) -> None:
         """Close a connection; whatever is on its way there or back is given up."""
         connection.flight = None
@@ -353,16 +479,35 @@
         idle = self.idle.get(connection.node)
         if idle is not None:
             idle.pop(connection, None)
+        flight = connection.next
+        if flight is not None:
+            # Nothing of it left: it looks for another connection.
+            connection.next = flight.rests_on = None
+            asyncio.get_running_loop().call_soon(self._seek_again, flight)
+
+    def _seek_again(self, flight: _Flight) -> None:
+        if not flight.done:
+            self._seek(flight)
 
     # --- time-outs: one timer for all
 
-    def _watch_stall(self, flight: _Flight) -> None:
+    def _watch_pace(self, flight: _Flight, parser: codec.Replies) -> None:
         now = self.clock()
-        flight.begun_at = flight.begun_at or now
-        flight.stall_at = now + self.bounds.stall_ms
-        self._limit(flight.stall_at, flight)
-
-    def _limit(self, at: float, flight: _Flight) -> None:
+        if flight.pace is None:
+            flight.pace = Pace(now, flight.deadline, self.bounds.stall_ms)
+        flight.pace.heard(now, len(parser._buffer), parser._need)
+        self._limit(flight)
+
+    def _limit(self, flight: _Flight) -> None:
+        """Have an attempt looked at when the next of its limits is up."""
+        at = flight.next_limit()
+        if at >= flight.listed_at:
+            return  # when that earlier one comes up it is listed again
+        if len(self._limits) > 2 * self.live + 64:
+            # Danger: answered attempts would stand here until their deadlines, thousands a second.
+            self._limits = [entry for entry in self._limits if not entry[2].done]
+            heapq.heapify(self._limits)
+        flight.listed_at = at
         self._count += 1
         heapq.heappush(self._limits, (at, self._count, flight))
         if at < self._rings_at:
@@ -377,27 +522,45 @@
 
     def _ring(self) -> None:
         now = self.clock()
-        self._rings, self._rings_at = None, float("inf")
+        self._rings, self._rings_at = None, -_NEVER  # no limit that is listed meanwhile sets the timer
+        due = []
         while self._limits and (self._limits[0][2].done or self._limits[0][0] <= now):
             at, _, flight = heapq.heappop(self._limits)
-            if flight.done:
-                continue
-            if at == flight.gives_way_at and flight in self.queue:
-                # Reported as a failed connection it would speak against a sound server.
-                flight.finish(Outcome.MOOT, "no descriptor is left for a connection")
-            elif at >= flight.call.deadline:
-                node, sent_at = flight.call.attempt.node.name, flight.call.attempt.sent_at
-                flight.give_up("no answer in time")
-                self._suspect(node, sent_at)
-            elif at == flight.stall_at:
-                self.spoilt += 1
-                connection = flight.connection
-                if connection is not None:
-                    self._drop(connection)
-                flight.finish(Outcome.ERROR, "an answer was begun and not gone on with")
+            if not flight.done and at == flight.listed_at:
+                flight.listed_at = _NEVER
+                due.append(flight)
+        for flight in due:
+            if not flight.done:
+                self._check(flight, now)
+            if not flight.done:
+                self._limit(flight)
+        self._rings_at = _NEVER
         if self._limits:
             self._ring_at(self._limits[0][0])
 
+    def _check(self, flight: _Flight, now: float) -> None:
+        """End an attempt of which a limit is up."""
+        connection = flight.connection
+        if now >= flight.gives_way_at:
+            # Reported as a failed connection it would speak against a sound server.
+            flight.finish(Outcome.MOOT, "no descriptor is left for a connection")
+        elif now >= flight.deadline:
+            node, sent_at = flight.call.attempt.node.name, flight.call.attempt.sent_at
+            asked = connection is not None or flight.connecting is not None
+            flight.give_up("no answer in time")
+            if asked:
+                self._suspect(node, sent_at)
+        elif now >= flight.leave_by:
+            # Danger: what is still here would arrive when its repeat is not dropped any more.
+            flight.overtake()
+        elif flight.rests_on is not None and now >= self.quiet.ready_at(flight.rests_on.idle_since):
+            self._rested(flight)
+        elif flight.pace is not None and now >= flight.pace.gives_up_at() and flight.pace.broken(now):
+            self.spoilt += 1
+            if connection is not None:
+                self._drop(connection)
+            flight.finish(Outcome.ERROR, "an answer was begun and not gone on with")
+
     def _suspect(self, node: str, since: float) -> None:
         """Close the idle connections to a server that has not been heard since an attempt was sent.
 
