A crowd of new connections no longer goes through all that are open for each that comes

At fault: front._make_room built and ranked all quiet connections for each new one. What is found to have sent something is looked at again once that was read.

--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -97,6 +97,7 @@
             if not self.asked:
                 self.asked = True
                 front.asking += 1
+                front.silent.pop(self, None)
             front.resting.pop(self, None)
             self.queue.append(front._command(self, words, now))
         if wrong is not None:
@@ -104,6 +105,8 @@
             self.queue.append(_Pending(codec.error(f"ERR Protocol error: {wrong}")))
             self.closing = True
             front.resting.pop(self, None)
+        elif not self.asked:
+            front.silent[self] = None
         elif self.parser.more and not self.transport.is_closing():
             self.transport.pause_reading()
             asyncio.get_running_loop().call_soon(self._go_on)
@@ -207,6 +210,7 @@
         self.open_ids: set[str] = set()
         self.asking = 0  # connections that have asked, and those of them that rest, idle longest first
         self.resting: dict[_Client, None] = {}
+        self.silent: dict[_Client, None] = {}  # those that never asked, as far as was read; oldest first
         self.welcome = True  # new connections can still be opened
         self.leaving = False
         self.last = FOREVER  # when the last answer has to be out
@@ -278,17 +282,26 @@
             client.transport.abort()
             return
         self.clients[client] = None
+        self.silent[client] = None
 
     def _make_room(self) -> bool:
         """Close a connection that lingers, else one that asks nothing; False where there is none."""
         if self._close_lingering(1):
             return True
-        quiet = {c: None for c in self.clients if c.quiet() and c.flushed()}
-        while (worst := leaves_first(quiet, self.clock() - self.bounds.newcomer_ms)) is not None:
-            if not worst.heard():
+        newcomers, unflushed = self.clock() - self.bounds.newcomer_ms, []
+        while True:
+            # Of either kind the first leaves first.  Danger: crowds come by the hundred in one round of the
+            # loop, and each of them would go through all that are there.
+            heads = [next(iter(group)) for group in (self.silent, self.resting) if group]
+            worst = leaves_first(heads, newcomers)
+            if worst is None or (worst.quiet() and worst.flushed() and not worst.heard()):
                 break
-            # Danger: connections are accepted by the hundred before any of them is read.
-            del quiet[worst]
+            # Danger: connections are accepted by the hundred before any of them is read.  What has sent
+            # something comes back here once it was read.
+            (self.resting if worst.asked else self.silent).pop(worst)
+            if not worst.flushed():
+                unflushed.append(worst)
+        self.resting |= dict.fromkeys(unflushed)
         if worst is None:
             return False
         self.evicted += 1
@@ -336,6 +349,7 @@
 
     def _drop(self, client: _Client) -> None:
         self.lingering.ended(client)
+        self.silent.pop(client, None)
         if self.clients.pop(client, self) is None:
             self.resting.pop(client, None)
             self.asking -= client.asked
--- a/tests/test_platform_endings.py
+++ b/tests/test_platform_endings.py
@@ -16,9 +16,11 @@
 from cressrock.lab.platform import answer, echo
 from cressrock.platform import stopping
 from cressrock.resp import codec
+from cressrock.resp import front as front_module
 from cressrock.resp.codec import ErrorLine, Status
 from cressrock.resp.front import Front, FrontBounds
 from cressrock.resp.request import Reader
+from cressrock.resp.room import leaves_first
 from tests.test_platform import READER, Client, Pipe, ident, on_sockets, read, stage, write
 
 
@@ -285,6 +287,45 @@
     assert second.transport.closed and not first.transport.closed
 
 
+def test_a_crowd_does_not_go_through_all_that_are_there_for_each_that_comes(monkeypatch):
+    """Danger: hundreds come in one round of the loop, and the answers that are due in it wait for them."""
+    looked = []
+
+    def counted(heads, newcomers):
+        looked.append(len(heads))
+        return leaves_first(heads, newcomers)
+
+    monkeypatch.setattr(front_module, "leaves_first", counted)
+    bounds = FrontBounds(max_connections=100, max_asking=99, max_unread=100)
+    front = Front(Reader(*READER), None, bounds, lambda: 0.0)
+    for _ in range(300):
+        client = front.protocol()
+        client.transport = Pipe()
+        front._connected(client)
+    assert front.evicted == 200 and len(front.clients) == 100
+    assert len(looked) == 200 and max(looked) <= 2
+
+
+@on_sockets
+async def test_what_was_heard_as_room_was_sought_is_found_again_when_it_was_read():
+    bounds = FrontBounds(max_connections=2, max_asking=9, max_unread=100)
+    front = Front(Reader(*READER), None, bounds, lambda: 0.0)
+
+    def come():
+        client = front.protocol()
+        client.transport = Pipe()
+        front._connected(client)
+        return client
+
+    first, second = come(), come()
+    first.transport.ends[1].send(b"x")
+    third = come()
+    assert second.transport.closed and not first.transport.closed and not third.transport.closed
+    first.data_received(first.transport.ends[0].recv(9).replace(b"x", b"*1"))  # half a command
+    third.transport.ends[1].send(b"x")
+    assert not come().transport.closed and first.transport.closed and not third.transport.closed
+
+
 def short(monkeypatch, **figures):
     for name, value in figures.items():
         monkeypatch.setattr(stopping, name, value)
