An answer of discovery that comes as its address is changed is news still

Read: platform/watch.py run() threw the report away where SIGHUP had moved the address in the same round of the loop; its version was held from then on, so a drain in it was never told again. The report is handed on, and the old connection closed. The test moves the address while the answer is taken in; each half taken out fails it.

--- a/cressrock/platform/watch.py
+++ b/cressrock/platform/watch.py
@@ -92,7 +92,7 @@
             while True:
                 self._moved = False
                 report = await self._ask(0 if first else silence.WAIT_MS)
-                if self._moved:
+                if report is None and self._moved:
                     first = True
                     continue
                 if report is None:
@@ -112,7 +112,8 @@
                 # A watch that brought nothing new is no news, but a subscription that stands is.
                 if first or report.nodes or report.kind is not ListKind.CHANGES:
                     self.listed(report)
-                first, failures = False, 0
+                # Danger: an answer that came as the address was changed is news that nobody tells again.
+                first, failures = self._moved, 0
 
     async def _ask(self, wait_ms: int) -> NodeList | None:
         """Hear what is new; None where that failed."""
@@ -132,7 +133,9 @@
         self._scope = None
         heard = [call for call in calls if call.report is not None]
         for call in calls:
-            if call.channel is not None and (call not in heard or not call.channel.reusable()):
+            if call.channel is not None and (
+                call not in heard or not call.channel.reusable() or self._moved
+            ):
                 await call.channel.close()
             elif call.channel is not None:
                 self._channel = call.channel
--- a/tests/test_platform_watch.py
+++ b/tests/test_platform_watch.py
@@ -142,6 +142,35 @@
         await s.until(lambda: "s5" in nodes)
 
 
+@on_sockets
+async def test_an_answer_that_comes_as_the_address_is_changed_is_news_still():
+    """Danger: its version is held from then on, so no later answer brings it again."""
+    async with stage() as s:
+        nodes, watch, servers = s.program.driver.ledger.nodes, s.program.watch, s.program.servers
+        await s.until(lambda: s.discovery.calls >= 2)
+        other = await Discovery().start()
+        receive = servers.receive
+
+        def receiving(*what, **more):
+            servers.receive = receive
+            report = receive(*what, **more)
+            watch.move(parse(json.dumps(config(other))).discovery)  # SIGHUP, in the same round of the loop
+            return report
+
+        servers.receive = receiving
+        s.discovery.put("s0", s.servers[0].address, 0, health="leaving")
+        await s.until(lambda: other.calls)
+        assert nodes["s0"].state is NodeState.DRAINING
+        assert not s.discovery.open or await closed(s.discovery)  # the old one is not asked any more
+
+
+async def closed(discovery):
+    calls = discovery.calls
+    while discovery.open:
+        await asyncio.sleep(0.005)
+    return discovery.calls == calls
+
+
 def pushed(discovery):
     value = config(discovery)
     value["settings"]["membership_mode"] = "push"
