--- a/cressrock/platform/program.py
+++ b/cressrock/platform/program.py
@@ -306,8 +306,9 @@
         o, t, f = self.observer, self.transport, self.front
         turns = self.turns.turns if self.turns is not None else 0
         self.log(
-            f"clients={len(f.clients)} lingering={len(f.lingering)} asking={f.asking} owed={f.owes()} evicted={f.evicted} "
-            f"yielded={f.yielded} malformed={f.malformed} refused={f.refused_commands} "
+            f"clients={len(f.clients)} lingering={len(f.lingering)} asking={f.asking} "
+            f"owed={f.owes()} evicted={f.evicted} yielded={f.yielded} "
+            f"malformed={f.malformed} refused={f.refused_commands} "
             f"calls={self.watch.calls} failed={self.watch.failed} doubted={self.watch.doubted} "
             f"nodes={len(t.open)} opened={t.opened} reused={t.reused} "
             f"spoilt={t.spoilt} surplus={t.surplus} turns={turns} events={o.events} act={o.act_ms:.0f} "
