A connection that rests is waited for only where a new one would be up no sooner

At fault: resp/nodes.py _take had an attempt wait up to 10 ms for a resting connection, while it held one of its server's D places. Now the time that connects are seen to take decides; the least rest is waited for only where no descriptor is left.

The test that asks twice at once and counts one connection waits for the rest in between: it counts the same.

--- a/cressrock/resp/nodes.py
+++ b/cressrock/resp/nodes.py
@@ -290,7 +290,8 @@
         if not idle:
             return False
         first = next(iter(idle))
-        if not self.quiet.worth_waiting(self.quiet.ready_at(first.idle_since), self.clock()):
+        full = len(self.open) + self.opening >= self.bounds.max_connections
+        if not self.quiet.worth_waiting(self.quiet.ready_at(first.idle_since), self.clock(), full=full):
             return False
         del idle[first]
         first.next, flight.rests_on = flight, first
@@ -377,6 +378,7 @@
 
     async def _connect(self, node: str, address: tuple[str, int], flight: _Flight) -> None:
         connection: _Connection | None = None
+        began = self.clock()
         try:
             loop = asyncio.get_running_loop()
             async with asyncio.timeout(self.bounds.connect_timeout_ms / 1000):
@@ -396,6 +398,7 @@
         if connection is None:
             return
         self.opened += 1
+        self.quiet.connected(self.clock() - began)
         if not connection.lost:
             self.open[connection] = None
         if flight.done:
--- a/cressrock/resp/quiet.py
+++ b/cressrock/resp/quiet.py
@@ -10,6 +10,7 @@
 # The platform speaks of 'some milliseconds': a number of one digit, rounded up.  It is a start and a least;
 # what is seen to come later raises it.
 LEAST_MS = 10.0
+SMOOTH = 0.3  # weight of the newest connect time
 
 
 class Quiet:
@@ -19,6 +20,7 @@
         """`most_ms` bounds what can be learnt: bytes that come later still belong to no answer."""
         self.most_ms = max(LEAST_MS, most_ms)
         self.rest_ms = LEAST_MS
+        self.connect_ms = 0.0  # smoothed: what it takes until a new connection is up
 
     def heard(self, late_ms: float) -> None:
         """Take in that bytes nobody asked for came so long after an answer."""
@@ -29,11 +31,15 @@
         """Return when a connection whose last answer was whole then may be used again."""
         return answered_at + self.rest_ms
 
-    @staticmethod
-    def worth_waiting(ready_at: float, now: float) -> bool:
+    def connected(self, ms: float) -> None:
+        """Take in how long a connection took to come up."""
+        self.connect_ms += (ms - self.connect_ms) * (SMOOTH if self.connect_ms else 1.0)
+
+    def worth_waiting(self, ready_at: float, now: float, *, full: bool = False) -> bool:
         """Whether to wait for a connection that is ready then, and open no other.
 
-        A handshake costs the server work and its first request time; the least rest is less than either
-        matters to a request.  A rest that was learnt may be long, and is not waited for.
+        Danger: an attempt that waits holds one of its server's places without being there.  So only where a
+        new connection would be up no sooner; more are open then, and one of them has rested.  `full`: another
+        would have to be closed for a new one, so the least rest is waited for as well, but no long one.
         """
-        return ready_at - now <= LEAST_MS
+        return ready_at - now <= max(self.connect_ms, LEAST_MS if full else 0.0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -128,6 +128,9 @@
         client = await s.client()
         assert await client.ask(codec.command(b"PING")) == Status("PONG")
         assert await client.ask(read(1)) == b"value of " + ident(1)
+        pool = s.program.transport
+        rested = pool.quiet.ready_at(next(iter(pool.open)).idle_since)
+        await s.until(lambda: pool.clock() >= rested)  # it rests after an answer
         assert await client.ask(write(2, b"x" * 65536)) == b"value of " + ident(2)
         first, second = s.servers[0].seen
         assert first[:3] == [b"IO.IN", PIECE, ident(1)] and len(first) == 4
