A listener that cannot be bound names its setting, its address and the way out

Seen, as a new user: `cressrock plan examples/planner.jsonnet` and `cressrock edge examples/edge.jsonnet` on one machine; the second ends with "[Errno 98] error while attempting to bind on address ('127.0.0.1', 9901): address already in use". Neither the setting (`observe.admin`) nor what to do is in it. At fault: cli/main.py `_run`, which prints an OSError as it is, and every caller of net.listen, none of which says whose address it is.

It raises BindError, an OSError; the command line prints it as errors.listening.AddressUnavailable, code 3 as before. The platform prints the same text with its own code 1: its process may load none of the errors' package (import-linter), so the one shared part stands in cressrock/net.py, which it has already.

Found on the way: uvloop listens at a port's lowest 16 bits, so 127.0.0.1:99999 listened at 34463 and nothing was said (the settings' pattern takes five digits); now it is refused. uvloop hides a datagram socket's errno in what the error is raised from; looked up there.

Ruled out: importing cressrock.errors in the platform (the contract forbids it, and stays as it is); a check at each listener. The relays of the laboratory take their ports from the system and try again; not touched.

--- a/cressrock/cli/main.py
+++ b/cressrock/cli/main.py
@@ -21,6 +21,7 @@
 
 from cressrock import net
 from cressrock.errors import CressrockError
+from cressrock.errors.listening import AddressUnavailable
 from cressrock.gateway import Gateway, World
 from cressrock.http.server import Server
 from cressrock.observe import logs
@@ -150,7 +151,9 @@
     program = PlannerProgram(settings, World(net.connect, net.wall_ms, settings.seed or _seed(), log))
     async with anyio.create_task_group() as tasks:
         await tasks.start(program.run)
-        address, close = await net.listen(settings.pair.listen, program.serve, tasks, log=log)
+        address, close = await net.listen(
+            settings.pair.listen, program.serve, tasks, setting="pair.listen", log=log
+        )
         admin = await _admin(settings, program.admin, tasks, log)
         bound = program.ground.addresses if program.ground is not None else {}
         log.info("planning", address=address, admin=admin, epoch=program.epoch, version=_version(), **bound)
@@ -172,6 +175,8 @@
         error: BaseException = group
         while isinstance(error, BaseExceptionGroup):
             error = error.exceptions[0]
+        if isinstance(error, net.BindError):
+            error = AddressUnavailable(str(error))
         _stop(UNAVAILABLE, str(error))
     except* CressrockError as group:
         error = group
@@ -187,7 +192,9 @@
     gateway = Gateway(settings, World(net.connect, net.wall_ms, settings.seed or _seed(), log))
     async with anyio.create_task_group() as tasks:
         await tasks.start(gateway.run)
-        address, close = await net.listen(settings.front.listen, gateway.serve, tasks, log=log)
+        address, close = await net.listen(
+            settings.front.listen, gateway.serve, tasks, setting="front.listen", log=log
+        )
         admin = await _admin(settings, gateway.admin, tasks, log)
         bound = gateway.ground.addresses if gateway.ground is not None else {}
         log.info("serving", address=address, admin=admin, version=_version(), **bound)
@@ -209,7 +216,9 @@
         max_connections=64,
         failed=lambda error: log.error("defect", error=repr(error), exc_info=error),
     )
-    address, _ = await net.listen(settings.observe.admin, admin.serve, tasks, log=log)
+    address, _ = await net.listen(
+        settings.observe.admin, admin.serve, tasks, setting="observe.admin", log=log
+    )
     tasks.start_soon(admin.watch)
     return address
 
--- a/cressrock/ground.py
+++ b/cressrock/ground.py
@@ -40,13 +40,15 @@
 class Sockets(Protocol):
     """Where a process's sockets come from: loopback and beyond, or a simulated network."""
 
-    async def listen(self, address: str, serve: Serve, tasks: TaskGroup) -> tuple[str, Close]:
-        """Serve TCP; returns the bound address and what closes it.  Raises OSError."""
+    async def listen(
+        self, address: str, serve: Serve, tasks: TaskGroup, *, setting: str
+    ) -> tuple[str, Close]:
+        """Serve TCP; returns the bound address and what closes it.  Raises BindError."""
 
     async def listen_both(
-        self, address: str, serve: Serve, tasks: TaskGroup
+        self, address: str, serve: Serve, tasks: TaskGroup, *, setting: str
     ) -> tuple[str, Datagrams, Close]:
-        """Bind UDP and TCP at one address.  Raises OSError."""
+        """Bind UDP and TCP at one address.  Raises BindError."""
 
     async def connect(self, host: str, port: int) -> Stream:
         """Open a TCP connection.  Raises OSError."""
@@ -55,15 +57,17 @@
 class NetSockets:
     """The system's sockets."""
 
-    async def listen(self, address: str, serve: Serve, tasks: TaskGroup) -> tuple[str, Close]:
-        """Serve TCP; returns the bound address and what closes it.  Raises OSError."""
-        return await net.listen(address, serve, tasks)
+    async def listen(
+        self, address: str, serve: Serve, tasks: TaskGroup, *, setting: str
+    ) -> tuple[str, Close]:
+        """Serve TCP; returns the bound address and what closes it.  Raises BindError."""
+        return await net.listen(address, serve, tasks, setting=setting)
 
     async def listen_both(
-        self, address: str, serve: Serve, tasks: TaskGroup
+        self, address: str, serve: Serve, tasks: TaskGroup, *, setting: str
     ) -> tuple[str, Datagrams, Close]:
-        """Bind UDP and TCP at one address.  Raises OSError."""
-        return await net.listen_both(address, serve, tasks)
+        """Bind UDP and TCP at one address.  Raises BindError."""
+        return await net.listen_both(address, serve, tasks, setting=setting)
 
     async def connect(self, host: str, port: int) -> Stream:
         """Open a TCP connection.  Raises OSError."""
@@ -155,11 +159,13 @@
     async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
         """Take part until cancelled; started once bound.
 
-        Raises OSError; errors.fleet.Fenced once a newer life of this name is heard of.
+        Raises BindError; errors.fleet.Fenced once a newer life of this name is heard of.
         """
         place, part = self.place, self.place.fleet
         async with anyio.create_task_group() as tasks:
-            bound, datagrams, close = await self.sockets.listen_both(part.listen, self._serve, tasks)
+            bound, datagrams, close = await self.sockets.listen_both(
+                part.listen, self._serve, tasks, setting="fleet.listen"
+            )
             self.addresses["fleet"] = bound
             identity = Identity(
                 place.name, place.life, part.advertise or bound, place.role, part.zone, part.region
@@ -233,7 +239,9 @@
             ),
             publish=self._publish,
         )  # fmt: skip
-        self.addresses["council"], _ = await self.sockets.listen(part.listen, seat.serve, tasks)
+        self.addresses["council"], _ = await self.sockets.listen(
+            part.listen, seat.serve, tasks, setting="council.listen"
+        )
         tasks.start_soon(seat.run)
 
     def _publish(self, decrees: tuple[d.Decree, ...]) -> None:
--- a/cressrock/lab/serve.py
+++ b/cressrock/lab/serve.py
@@ -70,9 +70,11 @@
         checked = convert("lab settings", value)
         gateway = Gateway(checked, World(net.connect, net.wall_ms, seed, log))
         await tasks.start(gateway.run)
-        address, _ = await net.listen(listen, gateway.serve, tasks, log=log)
+        address, _ = await net.listen(listen, gateway.serve, tasks, setting="--listen", log=log)
         admin_server = Server(gateway.admin, checked.front.bounds, max_connections=64, failed=_failed(log))
-        admin_address, _ = await net.listen(admin, admin_server.serve, tasks, log=log)
+        admin_address, _ = await net.listen(
+            admin, admin_server.serve, tasks, setting="--admin", log=log
+        )
         while gateway.ready():
             await anyio.sleep(0.01)
         ready(
@@ -96,7 +98,7 @@
         return anyio.current_time() * 1000
 
     async def open_address(address: str, serve: Serve) -> tuple[str, Close]:
-        return await net.listen(address, serve, tasks)
+        return await net.listen(address, serve, tasks, setting="a stand-in")
 
     machine = Machine() if modelled else None
     store = Store(memory_bytes=1 << 28, spill_bytes=1 << 20)
@@ -108,7 +110,7 @@
     for shard in range(shards):
         await hall.start(shard, "127.0.0.1:0")
     hall.publish()
-    address, _ = await net.listen(listen, listing.serve, tasks)
+    address, _ = await net.listen(listen, listing.serve, tasks, setting="--listen")
     return hall, address
 
 
--- a/cressrock/lab/simnet.py
+++ b/cressrock/lab/simnet.py
@@ -246,7 +246,12 @@
         self.net = net
 
     async def listen(
-        self, address: str, serve: Callable[[Any], Coroutine[Any, Any, None]], tasks: TaskGroup
+        self,
+        address: str,
+        serve: Callable[[Any], Coroutine[Any, Any, None]],
+        tasks: TaskGroup,
+        *,
+        setting: str = "address",
     ) -> tuple[str, Callable[[], Awaitable[None]]]:
         """Serve TCP at host:port; returns it and what closes it."""
         net = self.net
@@ -258,7 +263,12 @@
         return address, close
 
     async def listen_both(
-        self, address: str, serve: Callable[[Any], Coroutine[Any, Any, None]], tasks: TaskGroup
+        self,
+        address: str,
+        serve: Callable[[Any], Coroutine[Any, Any, None]],
+        tasks: TaskGroup,
+        *,
+        setting: str = "address",
     ) -> tuple[str, SimDatagrams, Callable[[], Awaitable[None]]]:
         """Bind UDP and TCP at host:port."""
         bound, close_tcp = await self.listen(address, serve, tasks)
--- a/cressrock/net.py
+++ b/cressrock/net.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import os
 import socket
 import time
 from collections import deque
-from collections.abc import Awaitable, Callable, Coroutine
-from contextlib import suppress
+from collections.abc import Awaitable, Callable, Coroutine, Iterator
+from contextlib import contextmanager, suppress
 from typing import Any, cast
 
 import anyio
@@ -146,21 +148,75 @@
     return stream
 
 
+class BindError(OSError):
+    """An address could not be bound; the text, in one line, names the setting, the address and the way out.
+
+    `errors.listening.AddressUnavailable` is its form on the command line.  Not that type itself: the
+    platform's process opens its listener by this one, and loads none of the gateway's errors.
+    """
+
+    def __init__(self, setting: str, address: str, wrong: Exception) -> None:
+        """`setting` is the place in the settings file or the option; `wrong` is what the system said."""
+        cause: BaseException = wrong
+        # Danger: of a datagram socket uvloop says only "could not bind"; why stands in what that is from.
+        while not (isinstance(cause, OSError) and cause.errno) and cause.__cause__ is not None:
+            cause = cause.__cause__
+        unknown = isinstance(cause, socket.gaierror)  # whose numbers are the resolver's own
+        number = cause.errno if isinstance(cause, OSError) and not unknown else None
+        if number == errno.EADDRINUSE:
+            what, way = "another process has it", f"end that one, or set {setting} to an address of its own"
+        elif number == errno.EADDRNOTAVAIL or unknown:
+            what, way = "this machine has no such address", f"set {setting} to one that it has"
+        elif number in (errno.EACCES, errno.EPERM):
+            what, way = "this user may not open that port", f"set {setting} to a port from 1024 on"
+        else:
+            # Danger: a text of several lines would hide the setting from who reads the last one.
+            said = os.strerror(number) if number else " ".join(str(wrong).split())
+            what, way = said, f"set {setting} to host:port, with a port that can be opened"
+        super().__init__(f"{setting}: cannot listen at {address}: {what}; {way}")
+        self.setting, self.address, self.errno = setting, address, number
+
+
+def _place(address: str) -> tuple[str, int]:
+    """Read host:port.  Raises ValueError."""
+    host, _, port = address.rpartition(":")
+    # Danger: uvloop listens at the port's lowest 16 bits and says nothing.
+    if not 0 <= int(port) <= 65535:
+        raise ValueError("a port is a number up to 65535")
+    return host, int(port)
+
+
+@contextmanager
+def binding(setting: str, address: str) -> Iterator[None]:
+    """Around whatever binds an address of a setting: raises BindError for all that can fail there."""
+    try:
+        yield
+    except BindError:
+        raise
+    except (OSError, ValueError, OverflowError) as wrong:  # also a port that is no number, or past 65535
+        raise BindError(setting, address, wrong) from wrong
+
+
 async def listen(
-    address: str, serve: Callable[[Stream], Coroutine[Any, Any, None]], tasks: TaskGroup, *, log: Any = None
+    address: str,
+    serve: Callable[[Stream], Coroutine[Any, Any, None]],
+    tasks: TaskGroup,
+    *,
+    setting: str = "address",
+    log: Any = None,
 ) -> tuple[str, Callable[[], Awaitable[None]]]:
     """Serve connections at host:port in a task group; returns the bound address and what closes it.
 
-    Raises OSError where the address cannot be bound.  While descriptors are used up accepting waits and
-    goes on by itself; open connections are not touched.
+    Raises BindError, which names the setting.  While descriptors are used up accepting waits and goes on by
+    itself; open connections are not touched.
     """
-    host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
 
     def connected(stream: TcpStream) -> None:
         tasks.start_soon(serve, stream)
 
-    server = await loop.create_server(lambda: TcpStream(connected), host, int(port), backlog=4096)
+    with binding(setting, address):
+        server = await loop.create_server(lambda: TcpStream(connected), *_place(address), backlog=4096)
     bound = server.sockets[0].getsockname()
 
     async def close() -> None:
@@ -216,19 +272,24 @@
 
 
 async def listen_both(
-    address: str, serve: Callable[[Stream], Coroutine[Any, Any, None]], tasks: TaskGroup
+    address: str,
+    serve: Callable[[Stream], Coroutine[Any, Any, None]],
+    tasks: TaskGroup,
+    *,
+    setting: str = "address",
 ) -> tuple[str, UdpSocket, Callable[[], Awaitable[None]]]:
     """Bind TCP and UDP at one host:port, with port 0 at one that is free for both.
 
-    Returns the bound address, the datagrams, and what closes both.  Raises OSError.
+    Returns the bound address, the datagrams, and what closes both.  Raises BindError.
     """
     host, _, port = address.rpartition(":")
     loop = asyncio.get_running_loop()
     while True:
-        bound, close_tcp = await listen(address, serve, tasks)
+        bound, close_tcp = await listen(address, serve, tasks, setting=setting)
         try:
             at = (host, int(bound.rpartition(":")[2]))
-            _, datagrams = await loop.create_datagram_endpoint(UdpSocket, local_addr=at)
+            with binding(setting, f"{address} (UDP)"):
+                _, datagrams = await loop.create_datagram_endpoint(UdpSocket, local_addr=at)
             break
         except OSError:
             await close_tcp()
--- a/cressrock/platform/program.py
+++ b/cressrock/platform/program.py
@@ -17,6 +17,7 @@
 
 import anyio
 
+from cressrock import net
 from cressrock.brain import Brain
 from cressrock.dispatch.driver import Driver
 from cressrock.dispatch.ledger import Attempt, Ledger, Tripped, Verdict
@@ -218,9 +219,10 @@
                 # and the list that it is started with may be older.
                 with anyio.move_on_after(silence.lost_after(0) / 1000):
                     await self.watch.heard.wait()
-            self.server = server = await loop.create_server(
-                self.front.protocol, *self.config.listen, backlog=1024
-            )
+            address, at = self.config.listen, ":".join(map(str, self.config.listen))
+            with net.binding("listen", at):
+                server = await loop.create_server(self.front.protocol, *address, backlog=1024)
+            self.server = server
             host, port = server.sockets[0].getsockname()
             self.address = host, port
             # What stands now stays: the collector need not go through it again and again.
