The watch clock's property starts right behind any event; it failed to notice three mends taken out

Seen: with the mend taken out of a copy, the property over orders of failures still passed where the module's backoff stood in for the pause, where a late failure put the next call off, and where a watch waited 4 s. Cause: discovery came back at an instant drawn from 25 s, hardly ever just behind a call's start, which is the worst one; and no failure fell just before its call would have been late. Now it comes back 0.5 ms behind any drawn event, and a call may fail 1 ms before it would be late. Each of the three makes it fail now (three runs). The other mends taken out, one run of the file each: the backoff for the pause fails 9 tests, doubling after 1 s 5 (the crowd of 30 among them), no draw 7 (the crowds among them), no shorter time behind a move 2, no third call beside two late ones 1, no four-fold time 1.

--- a/tests/test_platform_watchclock.py
+++ b/tests/test_platform_watchclock.py
@@ -5,7 +5,7 @@
 import random
 
 import pytest
-from hypothesis import example, given
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from cressrock.platform.watchclock import MOVED_MS, QUEUE_MS, TOLD_MS, WatchClock
@@ -130,15 +130,20 @@
 # --- whatever fails in whatever order
 
 FATES = st.lists(
-    st.tuples(st.sampled_from(["answered", "failed", "silent"]), st.floats(0, 4500)), min_size=1, max_size=30
+    st.tuples(st.sampled_from(["answered", "failed", "silent", "barely"]), st.floats(0, 4500)),
+    min_size=1,
+    max_size=12,
 )
 
 
 class Play:
-    """One clock against a discovery whose calls go by `fates`, those made from `reach_ms` on by `served`."""
+    """One clock against a discovery whose calls go by `fates`, those made from `reach_ms` on by `served`.
 
-    def __init__(self, c, fates, reach_ms, served, moves=()):
-        self.c, self.reach_ms, self.served = c, reach_ms, itertools.cycle(served)
+    A call that fails barely does so 1 ms before it would be late.
+    """
+
+    def __init__(self, c, fates, served, moves=()):
+        self.c, self.reach_ms, self.served = c, float("inf"), itertools.cycle(served)
         self.fates = itertools.cycle(fates)
         self.now, self.order = 0.0, itertools.count()
         self.ends = [(at, next(self.order), "moved", 0) for at in moves]
@@ -166,29 +171,36 @@
             kind, after = "answered", next(self.served)
         elif kind == "answered":  # a call that may wait for news does
             after = max(after, call.wait_ms)
+        elif kind == "barely":
+            kind, after = "failed", self.c.due_ms - self.now - 1
         # Danger for the play itself: a discovery that fails at once for ever would never let time go on.
         after = max(after, 1.0)
         if kind != "silent":
             heapq.heappush(self.ends, (self.now + after, next(self.order), kind, call.number))
 
 
+@settings(deadline=None)  # no verdict on wall time
 @given(
     FATES,
-    st.floats(0, 25_000),
+    st.integers(1, 40),
     st.lists(st.floats(0, QUEUE_MS), min_size=1, max_size=5),
     st.lists(st.floats(0, 20_000), max_size=2),
     st.integers(0, 2**32),
     st.sampled_from([(ASKED, 0.0), (OFTEN, 0.0), (0.0, 300.0)]),
 )
-@example([("failed", 2000.0)], 5000.0, [QUEUE_MS], [], 1, (ASKED, 0.0))
-@example([("answered", 0.0), ("silent", 0.0), ("failed", 0.0)], 1.0, [QUEUE_MS], [], 1, (ASKED, 0.0))
-@example([("failed", 2990.0)], 1.0, [QUEUE_MS], [], 1, (ASKED, 0.0))
-@example([("silent", 0.0)], 5000.0, [QUEUE_MS], [4000.0], 1, (ASKED, 0.0))
+@example([("failed", 2000.0)], 30, [QUEUE_MS], [], 1, (ASKED, 0.0))
+@example([("answered", 0.0), ("silent", 0.0)], 3, [QUEUE_MS], [], 1, (ASKED, 0.0))
+@example([("answered", 0.0), ("barely", 0.0)], 3, [QUEUE_MS], [], 1, (ASKED, 0.0))
+@example([("silent", 0.0)], 5, [QUEUE_MS], [4000.0], 1, (ASKED, 0.0))
 def test_the_list_is_asked_for_and_heard_in_time_from_when_discovery_can_be_reached(
-    fates, reach_ms, served, moves, seed, settings
+    fates, steps, served, moves, seed, figures
 ):
-    c = clock(random.Random(seed).random, *settings)
-    play = Play(c, fates, reach_ms, served, moves)
+    """Reached right behind any instant at which something happened: a call just made may meet the end yet."""
+    c = clock(random.Random(seed).random, *figures)
+    play = Play(c, fates, served, moves)
+    for _ in range(steps):
+        play.step()
+    reach_ms = play.reach_ms = play.now + 0.5
     while min(c.due_ms, play.ends[0][0] if play.ends else c.due_ms) < reach_ms:
         play.step()
     # What a silent watch misses counts by the long time; what a move or a failure leaves, by its own.
@@ -207,6 +219,7 @@
     assert heard <= since + told + 1e-6
 
 
+@settings(deadline=None)
 @given(st.integers(0, 2**32), st.sampled_from([ASKED, 0.0]))
 def test_a_clock_that_only_meets_failures_asks_in_time_for_ever(seed, ask_every_ms):
     source = random.Random(seed)
