Cold servers: hosts draw lots, not requests, and the sum counts what is still out

Seen: by reading and in logical-time plays, the sum over all hosts at a cold server rested on three things nobody keeps. _cold_room counted by the time of sending, so what a cut or a slow connection held back met the next windows' parts at the server; each request drew a lot of its own, so bursts, piles that waited for the start to be listed, and repeats (whose lot had won already) added up; and two small requests left in one batch where one a window was meant.

Change: what is out, and what ended within the window, counts against a host's part. The parts together stay under two thirds of what a server falls at, since a third may come from hosts that have not heard of the start. Where that pays for one request a window and host, none draws. Elsewhere a host draws once for each start of a server.

test_who_asks_a_cold_nodes_shard is stated anew: drawing as if all asked so much ends where a host has a request in each window, for it sends one a window whatever it is asked; it asserts that figure exactly.

--- a/cressrock/brain.py
+++ b/cressrock/brain.py
@@ -75,12 +75,11 @@
 
     __slots__ = (
         "arrival", "cls", "volume", "lane", "clock", "aim_at", "end_at", "attempts", "node", "sent_at",
-        "ran", "ended", "drawn", "due", "chance", "taken_at",
+        "ran", "ended", "drawn", "due", "taken_at",
     )  # fmt: skip
 
-    def __init__(self, arrival: Arrival, volume: _Volume, now: float, chance: float) -> None:
+    def __init__(self, arrival: Arrival, volume: _Volume, now: float) -> None:
         self.arrival = arrival
-        self.chance = chance  # its lot, from 0 to 1, where only some of many may leave
         self.volume = volume
         self.lane: _Lane | None = None
         self.taken_at = now
@@ -118,7 +117,7 @@
 class _Node:
     """A node as its answers show it: window D, answer times, and what is out there."""
 
-    def __init__(self, depth: float) -> None:
+    def __init__(self, depth: float, lot: float) -> None:
         self.line: Node | None = None
         self.depth = depth
         self.lag = 0.0  # smoothed answer time
@@ -139,7 +138,8 @@
         self.closed_until = self.backoff = 0.0
         self.heard = 0.0  # when it last answered
         self.last_sent = 0.0
-        self.drawn = 1.0  # part of the requests that may leave for it
+        self.lot = lot  # this host's, from 0 to 1, where only some of many may send while it is cold
+        self.drawn = 1.0  # part of the hosts that may
         self.recent: deque[tuple[float, float]] = deque()  # (time, units) sent within the cold window
 
 
@@ -251,7 +251,7 @@
         volume.writers = max(volume.writers, event.writers)
         index, left = event.request_class, event.remaining_ms
         cls = self.set.classes[index]
-        request = _Request(event, volume, now, self.random.random())
+        request = _Request(event, volume, now)
         self.units_taken += event.units
         request.cls = cls
         # The part of its deadline that a client's later try lacks is time its user has waited already.
@@ -337,6 +337,7 @@
         if request is None or request.node is None or event.attempt != request.attempts - 1:
             return
         now, node, outcome = self.now, request.node, event.outcome
+        node.recent.append((now, request.arrival.units))
         request.node = None
         if node.out.pop(event.request, None) is None:
             del node.strays[event.request]
@@ -451,10 +452,10 @@
                 old = self.nodes[name].line
                 self.nodes[name].line = Node(name, old.shard, old.zone, old.up_since_ms, NodeState.GONE)
         for name, line in listed.items():
-            node = self.nodes.setdefault(name, _Node(max(1.0, DEPTH / self.set.hosts)))
+            node = self.nodes.setdefault(name, _Node(max(1.0, DEPTH / self.set.hosts), self.random.random()))
             if node.line is not None and node.line.up_since_ms != line.up_since_ms:
                 # A restarted process has forgotten its jam: its trial ends, D starts low.
-                node.closed_until, node.backoff, node.depth = 0.0, 0.0, 1.0
+                node.closed_until, node.backoff, node.depth, node.lot = 0.0, 0.0, 1.0, self.random.random()
                 node.seen = node.wide = 0.0
             node.line = line
         self._assign()
@@ -629,13 +630,11 @@
         return len(node.out) < int(node.depth) + over
 
     def _dispatch(self, lane: _Lane, node: _Node) -> None:
-        room = self._cold_room(node)
         while lane.waiting and self._room(node):
-            request = self._pick(lane, node, room)
+            request = self._pick(lane, node, self._cold_room(node))
             if request is None:
                 break
             self._send(lane, node, request)
-            room -= request.arrival.units
 
     def _pick(self, lane: _Lane, node: _Node, room: float) -> _Request | None:
         """Choose the lowest tag plus compensation among the volumes' heads; late work only after these."""
@@ -729,7 +728,6 @@
         request.sent_at = node.last_sent = now
         node.out[request.arrival.request] = request
         self.live_nodes[node.line.name] = node
-        node.recent.append((now, units))
         self.actions.append(Send(request.arrival.request, node.line.name))
 
     def _compensate(self) -> None:
@@ -767,7 +765,7 @@
 
     def _may_leave(self, request: _Request, node: _Node, room: float) -> bool:
         units = request.arrival.units
-        if units > room or request.chance > node.drawn:
+        if units > room:
             return False
         plan = self.set.plans[request.arrival.plan]
         if plan.limit_rate and not request.drawn:
@@ -844,27 +842,29 @@
 
     def _cold_room(self, node: _Node) -> float:
         """Units a node may still get within the cold window; no bound once it is surely warm."""
-        window, line = self.set.cold_window_ms, node.line
+        window, line, hosts, usual = self.set.cold_window_ms, node.line, self.set.hosts, self.set.usual_units
         while node.recent and node.recent[0][0] <= self.now - window - self.set.tick_ms:
             node.recent.popleft()
-        age = self.now - line.up_since_ms
-        node.drawn = 1.0
+        age, node.drawn = self.now - line.up_since_ms, 1.0
         if not line.up_since_ms or age >= self.set.warm_up_ms + window:
             return FOREVER
         if self.now < self.born + window:
             return 0.0  # a former life of this host may have spent its part just now
         grown = max(0.0, age - window) / max(1.0, self.set.warm_up_ms)
         bears = self.set.cold_bears * (1 + (1 / self.set.cold_from - 1) * min(1.0, grown))
-        even = bears / self.set.hosts
-        if even >= self.set.usual_units:
-            return even - sum(units for _, units in node.recent)
-        # Danger: an even part that pays for no request starves a cold node until it is warm.  Many hosts
-        # draw lots, against what all ask of a shard if they are alike; who asks this one for more draws as
-        # if all did.  One request alone must not be more than the node bears.
-        units = max(self.units_taken / len(self.lanes), self.lanes[line.shard].asked)
-        asked = units * window / max(window, self.now - self.born, 1.0) * self.set.hosts
-        node.drawn = COLD_DRAWN * bears / max(asked, bears, 1.0)
-        return 0.0 if node.recent else min(bears, self.set.most_units)
+        told = 2 / 3 * (bears + 2 * (bears * usual) ** 0.5 + 2 * usual)  # the third: who has not heard of it
+        out = sum(r.arrival.units for r in (*node.out.values(), *node.strays.values()))  # may arrive yet
+        spent = out + sum(units for _, units in node.recent)
+        if min(bears, told) >= usual * hosts:
+            return min(bears, told) / hosts - spent
+        most = min(bears, told / hosts)
+        if most < usual:
+            # Danger: a part that pays for no request starves a cold node.  Hosts draw lots, once for each
+            # start, for one request a window: the fewer of these windows they use, the more of them may.
+            units = max(self.units_taken / len(self.lanes), self.lanes[line.shard].asked)
+            asked = hosts * min(usual, units * window / max(window, self.now - self.born, 1.0))
+            node.drawn, most = COLD_DRAWN * bears / max(asked, bears, 1.0), min(bears, self.set.most_units)
+        return 0.0 if spent or node.lot > node.drawn else most
 
     # --- the timer
 
--- a/tests/test_brain.py
+++ b/tests/test_brain.py
@@ -622,17 +622,19 @@
 def test_who_asks_a_cold_nodes_shard_for_more_than_others_draws_as_if_all_did():
     """Danger: lots against the mean of all shards let a hot one's whole traffic through."""
     drawn = []
-    for shard in (0, 1):
+    for shard, asks in ((0, 10), (1, 10), (0, 40), (0, 400)):
         brain = cold_host()
-        for step in range(40):
+        for step in range(20):
             (name,) = sent(brain.act(10100.0 + step, [ask(f"w{step}", shard=1 + step % 19)]))
             brain.act(10100.5 + step, [done(name, lag=0.5)])
-        for step in range(40):
+        for step in range(asks):
             brain.act(10200.0 + step, [ask(f"h{step}", shard=shard, remaining=1.0)])
             brain.act(10205.0 + step, [Wake(0)])
-        brain.act(10400.0, [ask("r", shard=0)])
+        brain.act(10700.0, [ask("r", shard=0)])
         drawn.append(brain.nodes["fresh"].drawn)
     assert drawn[0] < drawn[1] / 4
+    # Who asks for a request in each window, or for many, has one in half of N hosts: N is one of two units.
+    assert drawn[2] == drawn[3] == 0.5 * 1 / 200
 
 
 def answer(brain, now, name, lag, units=1.0):
