The kernel is asked whether a client is still there just before each attempt for it

Seen: an attempt may not begin more than 0.1 s after its client closed. It also hears of an end one round of the loop after the commands before it, so that a request with its client's end right behind it was sent on over an idle connection (Front._take, then Turns._turn, then the end); and a process that had no turn for long sent on what was given up meanwhile.

At fault: driver._Call.may_leave, asked by resp/nodes.py before the first byte, knew the ledger alone.

Change: `Driver.take` takes `present`, which may_leave asks first; the RESP front answers by a poll for POLLIN | POLLRDHUP on the client's socket, which sees close, half-close and reset behind unread bytes. An end that it finds is entered as the client's leaving, and the attempt ends as MOOT. resp/nodes.py asks also before it opens a connection. Idle clients cost nothing: one poll for an attempt, two with a new connection.

The HTTP fronts pass no `present` yet.

--- a/cressrock/dispatch/driver.py
+++ b/cressrock/dispatch/driver.py
@@ -77,6 +77,7 @@
     taken_at: float
     since: float  # when its user began to wait
     answer: Callable[[Any], None]
+    present: Callable[[], bool]  # whether its client is still there
 
 
 class _Call:
@@ -103,6 +104,10 @@
         return self.slot.label
 
     def may_leave(self) -> bool:
+        if not self.slot.present():
+            # Danger: whoever reads the client hears of its end later: its reading is paused, or the loop was
+            # busy.  An attempt that begins meanwhile is work for nobody.
+            self.driver.left(self.name)
         return self.driver.ledger.may_leave(self.name, self.attempt.number, self.driver.clock())
 
     def begin(self, reply: Any) -> bool:
@@ -172,9 +177,13 @@
         answer: Callable[[Any], None],
         label: str = "",
         since: float | None = None,
+        present: Callable[[], bool] = lambda: True,
     ) -> Denied | None:
         """Take an operation; `answer` gets its one final answer later, unless it is denied here and now.
 
+        `present` tells whether the client is still there; it is asked just before each attempt's first byte,
+        and False counts as its having left.
+
         `label` names the client's request in what goes to the nodes, for logs and traces only.
         `deadline` and `since`, when the client's request was taken, are on the driver's clock.
         """
@@ -190,7 +199,9 @@
                     return Denied(Verdict.FAILED, Reason.KEY)
         if self.ledger.take(name, exchange, cls, deadline, now) is None:
             return Denied(Verdict.REFUSED, Reason.FULL, self.retry_after_ms)
-        slot = self.slots[name] = _Slot(op, label or name, deadline, now, since, answer)
+        slot = self.slots[name] = _Slot(
+            op, label or name, deadline, now, since, answer, present
+        )
         self._tell(name, 1, slot)
         return None
 
--- a/cressrock/platform/program.py
+++ b/cressrock/platform/program.py
@@ -307,7 +307,7 @@
         turns = self.turns.turns if self.turns is not None else 0
         self.log(
             f"clients={len(f.clients)} lingering={len(f.lingering)} asking={f.asking} "
-            f"owed={f.owes()} evicted={f.evicted} yielded={f.yielded} "
+            f"owed={f.owes()} evicted={f.evicted} yielded={f.yielded} left_unread={f.left_unread} "
             f"malformed={f.malformed} refused={f.refused_commands} "
             f"calls={self.watch.calls} failed={self.watch.failed} doubted={self.watch.doubted} "
             f"nodes={len(t.open)} opened={t.opened} reused={t.reused} "
--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -137,6 +137,15 @@
         """Whether its peer has ended, read or not."""
         return bool(self._events() & ~select.POLLIN)
 
+    def present(self) -> bool:
+        """Whether its peer is still there, as the kernel knows it, however much of it is unread here."""
+        if self.transport.is_closing():
+            return False
+        if self.hung_up():
+            self.front.left_unread += 1
+            return False
+        return True
+
     def flushed(self) -> bool:
         """Whether all that was written to it is with the kernel."""
         return not self.transport.get_write_buffer_size()
@@ -219,6 +228,7 @@
         self.refused_commands = 0
         self.evicted = 0
         self.yielded = 0
+        self.left_unread = 0  # attempts not begun, as their client's end was with the kernel alone
 
     def protocol(self) -> _Client:
         """Return what serves a new connection."""
@@ -401,6 +411,7 @@
                 min(now + request.patience_ms, self.last),
                 partial(self._answer, client, pending),
                 since=now,
+                present=client.present,
             )
             if denied is not None:
                 pending.name = ""
--- a/cressrock/resp/nodes.py
+++ b/cressrock/resp/nodes.py
@@ -305,6 +305,10 @@
         if address is None:
             flight.finish(Outcome.NO_CONNECTION, "no address")
             return True
+        if not flight.call.may_leave():
+            # Danger: a connection that is opened for a client who has left costs its server work for nobody.
+            flight.finish(Outcome.MOOT, "over before it was connected")
+            return True
         if len(self.open) + self.opening >= self.bounds.max_connections and not self._make_room():
             return False
         self.opening += 1
@@ -422,7 +426,7 @@
         else:
             # One that was used before goes on idling since then: its server counts on as well.
             (self._shelve if connection.used else self._release)(connection)
-            flight.finish(Outcome.MOOT, "the connection came up too late for it")
+            flight.finish(Outcome.MOOT, "over before its first byte")
 
     def _write(self, connection: _Connection, flight: _Flight) -> None:
         connection.flight = flight
