A round of the loop accepts a few connections, so that a crowd leaves discovery its descriptors

Seen: a process limited to 64 descriptors (256) and met by 2,000 (4,000) idle clients at once, its discovery failing meanwhile, held 64 (256) descriptors, and its log said 'Too many open files' again and again. After discovery's return a request was served 39.5 s (26.3 s) later, by the eighth (fifth) try.

Checked: at rest it holds 9 descriptors; the bounds of clients and servers leave 32 beside them.

Ruled out: too small a share for the servers' connections, and the watch, which asked on.

At fault: loop.create_server(backlog=1024) in platform/program.py. asyncio accepts in one round of the loop as many as the backlog says, and the front hears of the first of them two rounds later; until then nobody can be given up for them. The accept that finds no descriptor also stops accepting for a whole second.

Change: resp/listener.py accepts so many in a round that those on their way to the front, and those closed for them, fit the descriptors kept for them: five (resp/room.py, `accepted_at_once`: 32 spare less 12 of the process's own, through four rounds).

--- a/cressrock/platform/program.py
+++ b/cressrock/platform/program.py
@@ -31,10 +31,15 @@
 from cressrock.resp.codec import MAX_VALUE
 from cressrock.resp.front import Front, FrontBounds
 from cressrock.resp.lingering import LingerBounds
+from cressrock.resp.listener import Listener
 from cressrock.resp.nodes import PoolBounds, RespTransport
 from cressrock.resp.request import Reader
+from cressrock.resp.room import accepted_at_once
 
-SPARE = 32  # descriptors for the listener, discovery, the event loop and the standard streams
+# Descriptors beside those that are counted as connections to clients and servers: the process's own (the
+# listener, two for discovery, three each for the event loop and the standard streams, one for a file, two
+# more), and those of clients' connections that are just coming or going.
+SPARE, OWN = 32, 12
 # Of the others storage servers get a quarter and no fewer than this: D keeps to a few tens in all.  Clients
 # get the rest: a third of all holds requests, and idle connections and silent peers come on top.
 NODES, NODES_LEAST = 0.25, 64
@@ -185,7 +190,7 @@
         )
         self.driver.subscribe = self.watch.subscribe
         self.turns: Turns | None = None
-        self.server: asyncio.Server | None = None
+        self.listener: Listener | None = None
         self.address: tuple[str, int] | None = None  # where clients are served, once they are
 
     def _listed(self, report: NodeList) -> None:
@@ -218,20 +223,22 @@
                 # and the list that it is started with may be older.
                 with anyio.move_on_after(silence.lost_after(0) / 1000):
                     await self.watch.heard.wait()
-            self.server = server = await loop.create_server(
-                self.front.protocol, *self.config.listen, backlog=1024
+            self.listener = listener = Listener(
+                self.config.listen, self.front.protocol, accepted_at_once(SPARE - OWN)
             )
-            host, port = server.sockets[0].getsockname()
-            self.address = host, port
+            host, port = self.address = listener.address()
             # What stands now stays: the collector need not go through it again and again.
             gc.collect()
             gc.freeze()
             self.log(f"serving at {host}:{port}")
-            await stopped.wait()
-            await self._stop(server)
+            try:
+                await stopped.wait()
+                await self._stop(listener)
+            finally:
+                listener.close()
             tasks.cancel_scope.cancel()
 
-    async def _stop(self, server: asyncio.Server) -> None:
+    async def _stop(self, listener: Listener) -> None:
         """End in the platform's time: nothing is owed then, and no answer is on its way.
 
         Clients go on using what they have open, and nobody else can serve them here: each connection is
@@ -239,9 +246,10 @@
         """
         stop = Stop(clock(), max(cls.deadline_ms for cls in self.config.settings.classes))
         self.log(f"stopping, {self.front.owes()} owed")
+        self._report()
         self.front.end_by(stop.last)
         await asyncio.sleep(max(0.0, stop.unlisten_at - clock()) / 1000)
-        await self._unlisten(server, stop.last)
+        await self._unlisten(listener, stop.last)
         while not self.front.ended() and clock() < stop.last:
             if clock() >= stop.leave_at:
                 self.front.leave()
@@ -257,7 +265,7 @@
         while not self.front.ended() and clock() < stop.exit_at:
             await asyncio.sleep(STEP_S)
 
-    async def _unlisten(self, server: asyncio.Server, last: float) -> None:
+    async def _unlisten(self, listener: Listener, last: float) -> None:
         """Close the listener.
 
         Danger: a connection that the kernel has accepted and the loop has not is reset with it, and so is
@@ -265,9 +273,9 @@
         """
         still = 0
         while still < 2 and clock() < last:
-            still = 0 if _readable(server.sockets[0].fileno()) else still + 1
+            still = 0 if _readable(listener.fileno()) else still + 1
             await asyncio.sleep(0)
-        server.close()
+        listener.close()
         self.front.welcome = False
 
     def reload(self) -> None:
@@ -297,6 +305,8 @@
             await asyncio.sleep(bounds.sweep_ms / 1000)
             self.front.sweep()
             self.transport.sweep()
+            if self.listener is not None:
+                self.listener.resume()
             if clock() >= report_at:
                 report_at += REPORT_MS
                 self._report()
@@ -308,6 +318,7 @@
         self.log(
             f"clients={len(f.clients)} lingering={len(f.lingering)} asking={f.asking} "
             f"owed={f.owes()} evicted={f.evicted} yielded={f.yielded} left_unread={f.left_unread} "
+            f"exhausted={self.listener.exhausted if self.listener is not None else 0} "
             f"malformed={f.malformed} refused={f.refused_commands} "
             f"calls={self.watch.calls} failed={self.watch.failed} doubted={self.watch.doubted} "
             f"nodes={len(t.open)} opened={t.opened} reused={t.reused} "
--- a/cressrock/resp/room.py
+++ b/cressrock/resp/room.py
@@ -15,6 +15,18 @@
 
 S = TypeVar("S", bound=Standing)
 
+# A connection is accepted in one round of the loop, its transport is made in the next, its front hears of it
+# in the third and may give another one up for it, whose descriptor is closed in the fourth.
+ROUNDS = 4
+
+
+def accepted_at_once(spare: int) -> int:
+    """Return how many connections a round of the loop may accept, at least one.
+
+    `spare` descriptors are kept for those that no bound counts yet, or that are being closed for them.
+    """
+    return max(1, spare // ROUNDS)
+
 
 def leaves_first(quiet: Iterable[S], newcomers_since: float) -> S | None:
     """Choose the connection to close for a new one: one that never asked, else the one idle longest.
--- a/tests/test_platform_endings.py
+++ b/tests/test_platform_endings.py
@@ -334,13 +334,13 @@
 @on_sockets
 async def test_a_connection_in_the_backlog_as_the_listener_closes_is_served(monkeypatch):
     async with stage() as s:
-        server, last = s.program.server, s.program.front.clock() + 10_000
+        listener, last = s.program.listener, s.program.front.clock() + 10_000
         sock = raw(s)  # accepted by the kernel alone
         sock.sendall(read(1))
-        await s.program._unlisten(server, last)
+        await s.program._unlisten(listener, last)
         client = await opened(s, sock)
         assert await client.reply() == b"value of " + ident(1)
-        assert not server.is_serving()
+        assert not listener.is_serving()
 
 
 @on_sockets
