One way to answer on the admin port, for gateway and planner

Seen: Gateway.admin and PlannerProgram.admin were two like functions (routes of rooms, methods, health, status, the text for an unknown path), so a change of one could miss the other.

Change: observe/admin.py `serve(exchange, routes, pages)`; each program hands over its own pages. Nothing that is answered changes: tests/test_admin.py was run on the former functions as well (trial, with the module's names replaced by their values): 7 passed there, 7 pass here.

--- a/cressrock/gateway.py
+++ b/cressrock/gateway.py
@@ -34,10 +34,11 @@
 from cressrock.edge.orphans import Away, Reconnect
 from cressrock.edge.turns import Turns
 from cressrock.ground import Ground, NetSockets, Place, Sockets
-from cressrock.http.channel import Headers, Stream
+from cressrock.http.channel import Stream
 from cressrock.http.server import Exchange, Server
 from cressrock.interface import Node, NodeList, NodeState, Outcome
 from cressrock.link.protocol import Bounds as LinkBounds
+from cressrock.observe import admin
 from cressrock.observe.metrics import Metrics
 from cressrock.planner.epochs import Store as EpochStore
 from cressrock.planner.epochs import next_epoch
@@ -525,25 +526,15 @@
 
     async def admin(self, exchange: Exchange) -> None:
         """Serve /healthz, /readyz, /metrics and /v1/status."""
-        path = exchange.head.target.split(b"?")[0]
-        text: Headers = [(b"content-type", b"text/plain; charset=utf-8")]
-        for begin, handle in self.routes.items():
-            if path.startswith(begin):
-                await handle(exchange)
-                return
-        if exchange.head.method not in (b"GET", b"HEAD"):
-            await exchange.respond(405, [*text, (b"allow", b"GET, HEAD")], b"only GET and HEAD\n")
-        elif path == b"/healthz":
-            await exchange.respond(200, text, b"ok\n")
-        elif path == b"/readyz":
-            why = self.ready()
-            body = ("; ".join(why) or "ready") + "\n"
-            await exchange.respond(503 if why else 200, text, body.encode())
-        elif path == b"/metrics":
-            kind = [(b"content-type", b"text/plain; version=0.0.4; charset=utf-8")]
-            await exchange.respond(200, kind, self.measure())
-        elif path == b"/v1/status":
-            kind = [(b"content-type", b"application/json")]
-            await exchange.respond(200, kind, msgspec.json.encode(self.status()))
-        else:
-            await exchange.respond(404, text, b"/healthz, /readyz, /metrics or /v1/status\n")
+        pages: dict[bytes, admin.Page] = {
+            b"/healthz": admin.healthz,
+            b"/readyz": self._readyz,
+            b"/metrics": lambda: (200, admin.METRICS, self.measure()),
+            b"/v1/status": lambda: admin.status(self.status()),
+        }
+        await admin.serve(exchange, self.routes, pages)
+
+    def _readyz(self) -> tuple[int, bytes, bytes]:
+        why = self.ready()
+        body = ("; ".join(why) or "ready") + "\n"
+        return (503 if why else 200), admin.TEXT, body.encode()
--- a/cressrock/plan.py
+++ b/cressrock/plan.py
@@ -16,10 +16,11 @@
 from cressrock.dispatch.nodeclient import NodeClient
 from cressrock.gateway import Parts, World, common_ground, follow_list, placed, rollout, widen
 from cressrock.ground import Ground
-from cressrock.http.channel import Headers, Stream
+from cressrock.http.channel import Stream
 from cressrock.http.server import Exchange
 from cressrock.interface import NodeList
 from cressrock.link.protocol import Bounds as LinkBounds
+from cressrock.observe import admin
 from cressrock.planner.carrier import PlannerServer
 from cressrock.planner.core import Bounds, Planner
 from cressrock.planner.epochs import Store, next_epoch
@@ -149,21 +150,11 @@
 
     async def admin(self, exchange: Exchange) -> None:
         """Serve /healthz and /v1/status."""
-        path = exchange.head.target.split(b"?")[0]
-        text: Headers = [(b"content-type", b"text/plain; charset=utf-8")]
-        for begin, handle in self.routes.items():
-            if path.startswith(begin):
-                await handle(exchange)
-                return
-        if exchange.head.method not in (b"GET", b"HEAD"):
-            await exchange.respond(405, [*text, (b"allow", b"GET, HEAD")], b"only GET and HEAD\n")
-        elif path == b"/healthz":
-            await exchange.respond(200, text, b"ok\n")
-        elif path == b"/v1/status":
-            kind = [(b"content-type", b"application/json")]
-            await exchange.respond(200, kind, msgspec.json.encode(self.status()))
-        else:
-            await exchange.respond(404, text, b"/healthz or /v1/status\n")
+        pages: dict[bytes, admin.Page] = {
+            b"/healthz": admin.healthz,
+            b"/v1/status": lambda: admin.status(self.status()),
+        }
+        await admin.serve(exchange, self.routes, pages)
 
     async def serve(self, stream: Stream) -> None:
         """Serve one edge's connection."""
