The simulator's adapter writes no timer earlier than the module set it

At fault: benchlink.action_line wrote the time of SET_TIMER rounded to the nearest microsecond, so down in half of the cases. Where a batch comes at just that time the module is up to half a microsecond early: Brain._expire finds nothing due, and Brain._arm sets no timer, for the one it waits for still lies ahead (`due < armed or armed <= now`). Nothing wakes that instance until its next event; a held request goes without its answer meanwhile. Ruled out: the gateway's and the platform's driver, which keep the time unrounded.

Change: the adapter rounds up. brain.py is untouched.

--- a/cressrock/benchlink.py
+++ b/cressrock/benchlink.py
@@ -105,7 +105,9 @@
             limit = f" within_ms={within:.3f}" if within else ""
             return f"TRY dispatcher={instance} tid={request}{limit} server={node}"
         case SetTimer(at, token):
-            return f"SET_TIMER dispatcher={instance} alarm_time_ms={at:.3f} ctx={token}"
+            # A microsecond too early, the module finds nothing due and no timer to set anew: it sleeps on.
+            early = float(f"{at:.3f}") < at
+            return f"SET_TIMER dispatcher={instance} alarm_time_ms={at + 0.001 * early:.3f} ctx={token}"
         case Refuse(request, away):
             advice = f" hold_off_ms={away:.3f}" if away else ""
             return f"BOUNCE dispatcher={instance} tid={request}{advice}"
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -11,8 +11,8 @@
 
 import pytest
 
-from cressrock.benchlink import Link, settings_from
-from cressrock.interface import Effect, Group
+from cressrock.benchlink import Link, action_line, settings_from
+from cressrock.interface import Effect, Group, SetTimer
 
 ROOT = pathlib.Path(__file__).parent.parent
 CONFIG = {
@@ -91,6 +91,27 @@
     assert all(part == "OK" or "dispatcher=" in part for part in result.stdout.split("\n") if part)
 
 
+@pytest.mark.parametrize("left", [900, 500.003, 600.001, 622.223])
+def test_a_batch_at_the_very_time_of_a_timer_is_not_too_early(left):
+    """Danger: rounded down, the wake-up finds nothing due and sets no other; a held request stays held."""
+    ask = ASK.format("a", 1, 1).replace("lies_in=0", "lies_in=9").replace("=900", f"={left}")
+    batches = START + f"SYNC ts_ms=110\n{ask}\nEOB\n"
+    for _ in range(100):
+        last = talk(batches).split("OK\n")[-2]
+        if "BOUNCE dispatcher=0 tid=t/a" in last:
+            return
+        alarm = re.findall(r"SET_TIMER dispatcher=0 alarm_time_ms=(\S+) ctx=(\S+)", last)
+        assert alarm, "held, and nothing will wake it"
+        batches += f"SYNC ts_ms={alarm[-1][0]}\nTIMEOUT_FIRED dispatcher=0 ctx={alarm[-1][1]}\nEOB\n"
+    raise AssertionError("never answered")
+
+
+@pytest.mark.parametrize("at", [0.0, 20.0, 36810.123, 36810.1231, 36810.1239, 5e9 + 0.0004])
+def test_a_timer_is_never_written_earlier_than_it_was_set(at):
+    written = float(action_line(0, SetTimer(at, 1)).split("alarm_time_ms=")[1].split()[0])
+    assert at <= written < at + 0.0015
+
+
 def test_the_end_of_input_is_no_error():
     assert run("").returncode == 0
     assert run(START).returncode == 0
