What is half-written as its client leaves is not written whole, cancelling allowed or not

Seen: a server begins a request with its last byte. Where the settings allow no cancelling, a request of which a part was still here as its client left was written on, and began later. With cancelling the scheduler's order ended it already.

At fault: driver.left told the scheduler alone, whose Cancel depends on `may_cancel`; but what has not left whole never ran, and giving it up is no cancelling.

Change: `Flight.abandon`, called by driver.left; resp/nodes.py gives up what is written in part (MOOT), and lets what is written whole go on. The HTTP transport cannot tell and does nothing.

Measured: test_a_request_half_written_as_its_client_leaves fails without the call where cancelling is not allowed, and passes either way where it is.

--- a/cressrock/dispatch/driver.py
+++ b/cressrock/dispatch/driver.py
@@ -208,12 +208,18 @@
     def left(self, name: str) -> bool:
         """Say that the client has left; False if it had its answer before.
 
-        What is out at a node runs on to its outcome, which the decisions hear and nobody is shown.
+        What is out at a node runs on to its outcome, which the decisions hear and nobody is shown; what has
+        not left whole for one does not run at all.
         """
         slot = self.slots.pop(name, None)
         if slot is None or not self.ledger.left(name):
             return False
         self._tell(name, 3, ClientLeft(name))
+        entry = self.ledger.entries.get(name)
+        call = self.out.get((name, len(entry.attempts) - 1)) if entry is not None else None
+        if call is not None and call.flight is not None:
+            # Danger: where attempts may not be cancelled, the rest of it would arrive, and it begin, later.
+            call.flight.abandon()
         self.observer.answered(
             slot.op.request_class, Verdict.LEFT, Reason.LEFT, self.clock() - slot.taken_at
         )
--- a/cressrock/dispatch/tasks.py
+++ b/cressrock/dispatch/tasks.py
@@ -36,6 +36,9 @@
         self.ordered_off = True
         self.scope.cancel()
 
+    def abandon(self) -> None:
+        pass  # how much of it the kernel has is not known here
+
     def report(self, ending: Ending) -> None:
         self.reported = True
         self.call.end(ending)
--- a/cressrock/dispatch/transport.py
+++ b/cressrock/dispatch/transport.py
@@ -126,6 +126,12 @@
     def stop(self) -> None:
         """Give the attempt up; its outcome still has to be reported, MOOT where nothing was handed over."""
 
+    def abandon(self) -> None:
+        """Let nothing more of it leave if it has not left whole: its client has gone, and it never ran.
+
+        One that has left whole goes on.  A transport that cannot tell does nothing.
+        """
+
 
 class Transport(Protocol):
     """What carries attempts."""
--- a/cressrock/resp/nodes.py
+++ b/cressrock/resp/nodes.py
@@ -182,6 +182,11 @@
         """Give it up by order."""
         self._give_up(Outcome.CANCELLED, Outcome.MOOT, "cancelled")
 
+    def abandon(self) -> None:
+        """Let nothing more leave of a request that is written in part: its client has gone."""
+        if self.connection is not None and self.connection.unsent:
+            self.overtake()
+
     def give_up(self, text: str) -> None:
         """Wait no longer."""
         self._give_up(Outcome.TIMEOUT, Outcome.NO_CONNECTION, text)
@@ -195,7 +200,7 @@
 
     def overtake(self) -> None:
         """Let nothing more of it leave: what is not written whole never ran."""
-        self._give_up(Outcome.MOOT, Outcome.MOOT, "too late to be written whole")
+        self._give_up(Outcome.MOOT, Outcome.MOOT, "not to be written whole any more")
 
     def _give_up(self, sent: Outcome, unsent: Outcome, text: str) -> None:
         if self.done:
--- a/tests/test_platform_leaving.py
+++ b/tests/test_platform_leaving.py
@@ -14,8 +14,9 @@
 from cressrock.interface import ListKind, Node, NodeList, NodeState
 from cressrock.lab.platform import answer, echo
 from cressrock.resp import codec
-from tests.test_platform import Client, ident, on_sockets, read, stage
+from tests.test_platform import Client, ident, on_sockets, read, stage, write
 from tests.test_platform_endings import narrow, raw
+from tests.test_platform_nodes import Peer, as_it_comes_up, drained
 
 LARGE = b"y" * 1_500_000
 
@@ -230,6 +231,48 @@
         sock.close()
 
 
+@pytest.mark.parametrize("may_cancel", [False, True])
+@on_sockets
+async def test_a_request_half_written_as_its_client_leaves_is_not_written_whole(may_cancel, monkeypatch):
+    """Danger: a server begins it when its last byte is there, long after its client has gone."""
+    peer = Peer()
+    peer.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+
+    def small(connection):
+        connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+
+    as_it_comes_up(monkeypatch, small)
+    async with stage() as s:
+        object.__setattr__(s.program.brain.set, "may_cancel", may_cancel)
+        s.discovery.put("s0", f"127.0.0.1:{peer.address[1]}", 0)
+        await s.until(lambda: s.program.servers.dials["s0"] == peer.address)
+        client = await s.client()
+        client.send(write(1, b"x" * 65536))
+        await s.until(lambda: any(c.unsent for c in s.program.transport.open))
+        end = peer.accept()
+        client.writer.close()
+        await s.until(lambda: not s.program.driver.out)
+        assert s.program.driver.ledger.answers[Verdict.LEFT] == 1 and s.program.observer.outcomes["moot"] == 1
+        assert drained(end) < 65536
+    peer.close()
+
+
+@on_sockets
+async def test_a_request_that_was_written_whole_goes_on_where_it_may_not_be_cancelled():
+    async with stage(lambda words: None) as s:
+        object.__setattr__(s.program.brain.set, "may_cancel", False)
+        client = await s.client()
+        client.send(read(1))
+        await s.until(lambda: s.servers[0].seen)
+        client.writer.close()
+        await s.until(lambda: not s.program.front.owes())
+        assert len(s.program.driver.out) == 1
+        (writer,) = s.servers[0].open
+        writer.write(echo(s.servers[0].seen[0]))
+        await s.until(lambda: not s.program.driver.out)
+        assert s.program.observer.outcomes == {"ok": 1} and not s.program.driver.ledger.entries
+
+
 @on_sockets
 async def test_a_look_costs_nothing_where_nothing_is_begun():
     """The cost is one for an attempt, two where a connection is opened; idle clients cost none."""
