--- a/cressrock/errors/lab.py
+++ b/cressrock/errors/lab.py
@@ -26,3 +26,17 @@
 
     code: ClassVar[str] = "drill-step-not-reached"
     remedy: ClassVar[str] = "look in the processes' logs for what they waited for; the drill ends there"
+
+
+class CapacityMalformed(CressrockError):
+    """A line of a raw file of capacity is no measurement, or gives its row another meaning."""
+
+    code: ClassVar[str] = "capacity-malformed"
+    remedy: ClassVar[str] = "correct or delete the line that the text names, then run its row with --only"
+
+
+class CapacityUnfit(CressrockError):
+    """A row of capacity has no measurement that a figure could come from."""
+
+    code: ClassVar[str] = "capacity-unfit"
+    remedy: ClassVar[str] = "run the row with --only, or say on the page that it was not measured"
