--- /dev/null
+++ b/benchmarks/capacity_local.py
@@ -0,0 +1,91 @@
+"""What one process pays by size, inside and over real sockets: a line of raw figures for each measurement.
+
+    python benchmarks/capacity_local.py [--only lists requests ...] [--seeds 1 2 3] [--out FILE]
+
+Rows are appended to `benchmarks/results/capacity-local.jsonl`; of one row, size and seed the last run counts.
+Sizes over sockets take what the system gives; a group that is not run leaves no line.
+"""
+
+import argparse
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parent.parent))
+
+from cressrock.lab import capacity
+from cressrock.lab import localcost as lc
+from cressrock.lab import localcost_lists as lists
+from cressrock.lab import localcost_requests as requests
+
+HERE = Path(__file__).parent
+SERVERS = (500, 1000, 2500, 5000, 10000)
+WAITING = (1, 64, 256, 1024, 1667)
+VOLUMES = (100, 1000, 2700, 10000)
+
+# group: (probe, what n counts, role, scene, sizes)
+GROUPS = {
+    "lists": [(lists.list_probe, "servers", lc.DISPATCHER, "birth", SERVERS)],
+    "requests": [
+        (requests.servers_probe, "servers", lc.DISPATCHER, "calm", SERVERS),
+        (requests.volumes_probe, "volumes", lc.DISPATCHER, "calm", VOLUMES),
+        (requests.volume_bytes, "volumes", lc.DISPATCHER, "calm", VOLUMES),
+        (requests.one_server_probe, "waiting requests", lc.DISPATCHER, "jam", WAITING),
+        (requests.servers_waiting_probe, "waiting servers", lc.DISPATCHER, "jam", WAITING),
+    ],
+}
+
+
+def commit():
+    """Return the commit that is measured, marked where files of the program differ from it."""
+    head = subprocess.run(
+        ["git", "-C", str(HERE), "rev-parse", "--short", "HEAD"], capture_output=True, text=True, check=True
+    ).stdout.strip()
+    changed = subprocess.run(
+        ["git", "-C", str(HERE.parent), "status", "--porcelain", "--untracked-files=no", "cressrock"],
+        capture_output=True, text=True, check=True,
+    ).stdout.strip()  # fmt: skip
+    return head + ("+" if changed else "")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--only", nargs="*", choices=[*GROUPS], default=[*GROUPS])
+    parser.add_argument("--seeds", type=int, nargs="*", default=[1, 2, 3])
+    parser.add_argument("--sizes", type=int, nargs="*", help="in place of each probe's own")
+    parser.add_argument("--out", default=str(HERE / "results" / "capacity-local.jsonl"))
+    given = parser.parse_args()
+    at = commit()
+    with open(given.out, "a") as file:
+        for group in given.only:
+            for probe, of, role, scene, sizes in GROUPS[group]:
+                for n in given.sizes or sizes:
+                    for seed in given.seeds:
+                        began, found = time.monotonic(), []
+                        for figure in probe(n, seed):
+                            found.append((figure, time.monotonic() - began))
+                            began = time.monotonic()
+                        for figure, seconds in found:
+                            line = capacity.line(
+                                capacity.Measurement(
+                                    row=figure.row,
+                                    n=n,
+                                    seed=seed,
+                                    value=round(figure.value, 6),
+                                    unit=figure.unit,
+                                    role=figure.role or role,
+                                    scene=figure.scene or scene,
+                                    at_commit=at,
+                                    command=f"python benchmarks/capacity_local.py --only {group}",
+                                    seconds=round(seconds, 2),
+                                    of=of,
+                                )
+                            )
+                            file.write(line + "\n")
+                        file.flush()
+                        print(f"{group} {probe.__name__} n={n} seed={seed}", flush=True)
+
+
+if __name__ == "__main__":
+    main()
