Capacity: probes of the other state inside a process, and what must stay flat is tested

Need: ledger, keys, limits, grants, decrees, log and rooms have a row on the page each, and nothing failed when something that is flat today would begin to grow.

Change: lab/localcost_state.py feeds the state machines at several sizes; tests/test_capacity_local.py holds, by lines run and bytes held at 64 to 512, what does not grow: a change of one server in list and ledger, a request by servers and by what waits at one server, an operation and a connection by how many are open, a decree by how many stand. A list that goes through all servers, a transport and a seat that do so fail it.

Not flat today, and so not in the test: the decision module at a change of a server, a turn while requests wait at many servers, a planner's step by its edges, a renewal by the decrees that stand.

--- a/benchmarks/capacity_local.py
+++ b/benchmarks/capacity_local.py
@@ -19,11 +19,17 @@
 from cressrock.lab import localcost_lists as lists
 from cressrock.lab import localcost_requests as requests
 from cressrock.lab import localcost_sockets as sockets
+from cressrock.lab import localcost_state as state
 
 HERE = Path(__file__).parent
 SERVERS = (500, 1000, 2500, 5000, 10000)
 WAITING = (1, 64, 256, 1024, 1667)
 VOLUMES = (100, 1000, 2700, 10000)
+OPEN = (64, 256, 1024, 1770, 4000)
+KEYS = (1000, 10000, 50000, 106200)
+EDGES = (50, 200, 400, 800)
+DECREES = (64, 256, 1024, 4096, 10000)
+ENTRIES = (64, 512, 2048, 9100)
 CONNECTIONS = (100, 500, 1000, 2000, 2700)
 
 # group: (probe, what n counts, role, scene, sizes)
@@ -36,6 +42,16 @@
         (requests.one_server_probe, "waiting requests", lc.DISPATCHER, "jam", WAITING),
         (requests.servers_waiting_probe, "waiting servers", lc.DISPATCHER, "jam", WAITING),
     ],
+    "state": [
+        (state.ledger_probe, "waiting requests", lc.DISPATCHER, "calm", OPEN),
+        (state.keys_probe, "keys", lc.EDGE, "calm", KEYS),
+        (state.lending_probe, "volumes", lc.EDGE, "calm", VOLUMES),
+        (state.grants_probe, "edges of a planner", lc.PLANNER, "calm", EDGES),
+        (state.seat_probe, "decrees", lc.SEAT, "calm", DECREES),
+        (state.reader_probe, "decrees", lc.EDGE, "calm", DECREES),
+        (state.log_probe, "log entries", lc.SEAT, "calm", ENTRIES),
+        (state.room_probe, "connections", lc.EDGE, "calm", CONNECTIONS),
+    ],
     "turns": [(sockets.measured(sockets.list_turns), "servers", lc.DISPATCHER, "birth", SERVERS)],
     "connections": [
         (sockets.measured(sockets.platform_connections), "connections", lc.DISPATCHER, "calm", CONNECTIONS),
--- a/cressrock/lab/capacity.py
+++ b/cressrock/lab/capacity.py
@@ -26,9 +26,11 @@
 SIZES = {"dispatchers": 4806, "servers": 10_000, "connections": 2700, "requests a second": 1770}
 """The coming size of each thing that `n` may count: 4,800 dispatchers and the six machines set aside."""
 
-# Inside a dispatcher: a volume for each connection; a second's requests waiting; all servers of a lost zone
-# with a request each; a set of copies decided for each server's shard.
+# Inside a process: a volume for each connection; a second's requests waiting; all servers of a lost zone with
+# a request each; a set of copies decided for each server's shard; a minute's clients' keys; all edges at six
+# planners; a day's changes of configuration.
 SIZES |= {"volumes": 2700, "waiting requests": 1770, "waiting servers": 1667, "decrees": 10_000}
+SIZES |= {"keys": 106_200, "edges of a planner": 800, "log entries": 9100}
 
 FLAT = 0.15
 """A growing law has to leave less than a constant does, beyond this: noise of a few seeds is no growth."""
