Capacity: real edges with planners and seats in calm; connections that may rest while they are measured

Need: the lower end of what grows with a fleet has to come from processes of the program.

Change: lab/localcost_fleet.py plays edges with three planners that hold the seats, with the shipped figures; bytes are counted between them by one port for each process, and at 20 edges by the drill's relays as well. localcost_child.py lets clients rest for a minute, and tells what Python holds for them.

--- a/benchmarks/capacity_local.py
+++ b/benchmarks/capacity_local.py
@@ -16,6 +16,7 @@
 
 from cressrock.lab import capacity
 from cressrock.lab import localcost as lc
+from cressrock.lab import localcost_fleet as fleet
 from cressrock.lab import localcost_lists as lists
 from cressrock.lab import localcost_requests as requests
 from cressrock.lab import localcost_sockets as sockets
@@ -30,6 +31,8 @@
 EDGES = (50, 200, 400, 800)
 DECREES = (64, 256, 1024, 4096, 10000)
 ENTRIES = (64, 512, 2048, 9100)
+# Of real processes: an edge takes 45 MB that it shares with nobody, and 4 GB are there for them.
+REAL = (20, 40, 60, 85)
 CONNECTIONS = (100, 500, 1000, 2000, 2700)
 
 # group: (probe, what n counts, role, scene, sizes)
@@ -55,10 +58,15 @@
     "turns": [(sockets.measured(sockets.list_turns), "servers", lc.DISPATCHER, "birth", SERVERS)],
     "connections": [
         (sockets.measured(sockets.platform_connections), "connections", lc.DISPATCHER, "calm", CONNECTIONS),
-        (sockets.measured(sockets.edge_connections), "connections", lc.EDGE, "calm", CONNECTIONS),
+    ],
+    "edge_connections": [
+        (sockets.measured(sockets.edge_connections), "connections", lc.EDGE, "calm", CONNECTIONS)
     ],
     "served": [(sockets.measured(sockets.requests_served), "servers", lc.DISPATCHER, "calm", SERVERS)],
     "crowded": [(sockets.measured(sockets.requests_crowded), "servers", lc.DISPATCHER, "calm", SERVERS)],
+    "real": [(fleet.calm_probe, "dispatchers", lc.EDGE, "calm", REAL)],
+    "real_relays": [(fleet.relays_probe, "dispatchers", lc.EDGE, "calm", REAL[:1])],
+    "real_zones": [(fleet.zones_probe, "dispatchers", lc.EDGE, "calm", REAL)],
     "calls": [(sockets.measured(sockets.system_calls), "servers", lc.DISPATCHER, "calm", SERVERS)],
 }
 
--- a/cressrock/lab/localcost_child.py
+++ b/cressrock/lab/localcost_child.py
@@ -1,25 +1,50 @@
-"""Runs the dispatcher on the platform with its event loop's turns measured: a child of `localcost_sockets`.
+"""Runs the dispatcher on the platform so that more can be seen of it: a child of `localcost_sockets`.
 
-At SIGUSR1 it writes the longest turns since the last time to standard error, as one line `turns [...]` of
-milliseconds of processor time.  Measuring costs a microsecond a turn: processor time per request is taken
-from `cressrock platform` itself.
+    python -m cressrock.lab.localcost_child turns|rest|held
+
+`turns`: at SIGUSR1 it writes the longest turns of its event loop since the last time to standard error, as
+one line `turns [...]` of milliseconds of processor time.  Measuring costs a microsecond a turn: processor
+time per request is taken from `cressrock platform` itself.  `rest`: clients may rest for a minute, not 2.1 s.
+`held`: the same, and at SIGUSR1 it writes what Python holds, `held BYTES`; tracing makes it slow.
 """
 
 from __future__ import annotations
 
 import asyncio
+import functools
+import gc
 import heapq
 import json
 import signal
 import sys
 import time
+import tracemalloc
 from typing import Any
 
 MOST = 8
+REST_MS = 60000.0
 
 
-def main() -> int:
+def main(mode: str) -> int:
     """Run `cressrock platform` so."""
+    if mode == "turns":
+        _turns()
+    if mode == "held":
+        signal.signal(signal.SIGUSR1, _tell_held)
+        tracemalloc.start()
+    from cressrock.platform import program
+
+    if mode != "turns":
+        program.FrontBounds = functools.partial(program.FrontBounds, silent_ms=REST_MS)  # type: ignore
+    return program.main()
+
+
+def _tell_held(number: int, frame: Any) -> None:
+    gc.collect()
+    print(f"held {tracemalloc.get_traced_memory()[0]}", file=sys.stderr, flush=True)
+
+
+def _turns() -> None:
     longest: list[float] = []
     run = asyncio.Handle._run
 
@@ -41,10 +66,7 @@
 
     asyncio.Handle._run = measured  # type: ignore[method-assign]
     signal.signal(signal.SIGUSR1, tell)
-    from cressrock.platform.program import main as platform
-
-    return platform()
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1]))
--- a/cressrock/lab/localcost_sockets.py
+++ b/cressrock/lab/localcost_sockets.py
@@ -229,14 +229,15 @@
     n: int,
     seed: int,
     *,
-    measured: bool = False,
+    child: str = "",
     before: Sequence[str] = (),
     born_empty: bool = False,
     sockets: int = SOCKETS,
 ) -> AsyncIterator[tuple[Hall, Process, int]]:
     """Start `cressrock platform` over n servers; gives its hall, its process and its port.
 
-    `before` stands before the command; `born_empty`: it hears its list from discovery and is born with none.
+    `child`: how `localcost_child` runs it; without it the program itself is run.  `before` stands before the
+    command; `born_empty`: it hears its list from discovery and is born with none.
     """
     hall = Hall(n, seed)
     await hall.open()
@@ -247,7 +248,9 @@
             value["known"] = {"seq": 0, "whole": True, "hosts": []}
             hall.changes = {1: list(hall.entries)}
         (folder / "config").write_text(json.dumps(value))
-        command = ["-m", "cressrock.lab.localcost_child"] if measured else ["-m", "cressrock", "platform"]
+        command = ["-m", "cressrock", "platform"]
+        if child:
+            command = ["-m", "cressrock.lab.localcost_child", child]
         process = Process([*before, sys.executable, *command], folder, LB_CONFIG=str(folder / "config"))
         try:
             port = int((await process.said(r"serving at [0-9.]+:(\d+)"))[1])
@@ -380,7 +383,7 @@
 
 async def list_turns(n: int, seed: int) -> AsyncIterator[Figure]:
     """Measure the longest turn of a dispatcher's loop at a whole list, at one all anew, at a change."""
-    async with dispatcher(n, seed, measured=True, born_empty=True) as (hall, process, port):
+    async with dispatcher(n, seed, child="turns", born_empty=True) as (hall, process, port):
         await asyncio.sleep(1.0)
         yield Figure("serverlist.whole.turn_ms", (await _turns(process))[0], "ms", scene="birth")
         yield Figure("serverlist.whole.rss_bytes", process.usage().rss, "bytes", scene="birth")
@@ -396,14 +399,20 @@
 
 
 async def _turns(process: Process) -> list[float]:
-    before = len(re.findall(r"turns \[", process.text()))
+    return cast(list[float], json.loads(await _told(process, "turns")))
+
+
+async def _told(process: Process, word: str) -> str:
+    """Ask a child for its figures.  Raises RuntimeError."""
+    pattern = rf"^{word} (.*)$"
+    before = len(re.findall(pattern, process.text(), re.M))
     os.kill(process.pid, signal.SIGUSR1)
-    for _ in range(500):
-        found = re.findall(r"turns (\[.*\])", process.text())
+    for _ in range(1000):
+        found = re.findall(pattern, process.text(), re.M)
         if len(found) > before:
-            return cast(list[float], json.loads(found[-1]))
+            return str(found[-1])
         await asyncio.sleep(0.01)
-    raise RuntimeError("the child did not tell its turns")
+    raise RuntimeError(f"the child did not tell its {word}")
 
 
 async def requests_served(n: int, seed: int) -> AsyncIterator[Figure]:
@@ -473,32 +482,51 @@
 
 
 async def platform_connections(n: int, seed: int) -> AsyncIterator[Figure]:
-    """Measure n connections of clients that asked once and stay; the dispatcher ends them after 2.1 s."""
-    ping = codec.command(b"PING")
+    """Measure n connections of clients that asked once and rest.
+
+    The program ends them after 2.1 s, which is measured too; to see what they cost until then, a child lets
+    them rest longer.  Memory is Python's: what the kernel holds for a socket comes on top.
+    """
     async with dispatcher(64, seed) as (_, process, port):
-        for client in await connect(port, 50):
-            await client.ask(ping)
-        await asyncio.sleep(3.0)
-        base = process.usage()
-        idle = await _cpu(process, asyncio.sleep(1.0))
-        began, clients = time.monotonic(), []
-        for at in range(0, n, 100):
-            new = await connect(port, min(100, n - at))
-            await asyncio.gather(*(client.ask(ping) for client in new))
-            clients += new
-        first = time.monotonic()
-        spent = await _cpu(process, asyncio.sleep(0.5))
-        now, took = process.usage(), time.monotonic() - first
-        lost = sum(bool(client.lost_at) for client in clients)
-        if lost:
-            raise RuntimeError(f"{lost} of {n} connections were ended while they were measured")
-        yield Figure("connections.platform.rss_bytes", now.rss - base.rss, "bytes", scene="calm")
-        spent = max(0.0, spent / took - idle)
-        yield Figure("connections.platform.idle_cpu_ms_s", spent, "ms/s", scene="calm")
-        while not all(client.lost_at for client in clients) and time.monotonic() - began < 8:
+        clients, began = await _pinged(port, n), time.monotonic()
+        while not all(client.lost_at for client in clients) and time.monotonic() - began < 6:
             await asyncio.sleep(0.05)
-        last = max((client.lost_at or time.monotonic()) - first for client in clients)
+        last = max((client.lost_at or time.monotonic()) - began for client in clients)
         yield Figure("connections.platform.ended_after_s", last, "s", scene="calm")
+    async with dispatcher(64, seed, child="rest") as (_, process, port):
+        idle = await _cpu(process, asyncio.sleep(3.0))
+        clients = await _pinged(port, n)
+        await asyncio.sleep(0.5)
+        spent = await _cpu(process, asyncio.sleep(3.0))
+        _all_there(clients)
+        spent = max(0.0, spent - idle) / 3
+        yield Figure("connections.platform.idle_cpu_ms_s", spent, "ms/s", scene="calm")
+    async with dispatcher(64, seed, child="held") as (_, process, port):
+        for client in await _pinged(port, 20):
+            client.transport.abort()
+        await asyncio.sleep(0.5)
+        before = int(await _told(process, "held"))
+        clients = await _pinged(port, n)
+        held = int(await _told(process, "held")) - before
+        _all_there(clients)
+        yield Figure("connections.platform.held_bytes", held, "bytes", scene="calm")
+
+
+def _all_there(clients: list[Client]) -> None:
+    lost = sum(bool(client.lost_at) for client in clients)
+    if lost:
+        raise RuntimeError(f"{lost} of {len(clients)} connections were ended while they were measured")
+
+
+async def _pinged(port: int, n: int) -> list[Client]:
+    """Open n connections that ask once."""
+    ping, clients = codec.command(b"PING"), list[Client]()
+    for at in range(0, n, 200):
+        parts = await asyncio.gather(*(connect(port, 1) for _ in range(min(200, n - at))))
+        new = [client for part in parts for client in part]
+        await asyncio.gather(*(client.ask(ping) for client in new))
+        clients += new
+    return clients
 
 
 async def edge_connections(n: int, seed: int) -> AsyncIterator[Figure]:
