--- a/benchmarks/capacity_local.py
+++ b/benchmarks/capacity_local.py
@@ -38,6 +38,10 @@
 # group: (probe, what n counts, role, scene, sizes)
 GROUPS = {
     "lists": [(lists.list_probe, "servers", lc.DISPATCHER, "birth", SERVERS)],
+    "edge_lists": [(lists.edge_list_probe, "servers", lc.EDGE, "calm", SERVERS)],
+    "discovery": [
+        (sockets.measured(sockets.discovery_calm), "servers", lc.DISPATCHER, "calm", SERVERS[::2] + (5000,))
+    ],
     "requests": [
         (requests.servers_probe, "servers", lc.DISPATCHER, "calm", SERVERS),
         (requests.volumes_probe, "volumes", lc.DISPATCHER, "calm", VOLUMES),
--- a/cressrock/lab/localcost_lists.py
+++ b/cressrock/lab/localcost_lists.py
@@ -13,8 +13,9 @@
 
 from cressrock.brain import Brain
 from cressrock.dispatch.ledger import Ledger
+from cressrock.dispatch.nodelist import TYPE_URL, ListState
 from cressrock.interface import NodeList, Plan, RequestClass, Settings
-from cressrock.lab.localcost import Figure, cpu_ms, fresh_cpu_ms, held_bytes, lines
+from cressrock.lab.localcost import EDGE, Figure, cpu_ms, fresh_cpu_ms, held_bytes, lines
 from cressrock.platform.serverlist import ServerList
 
 ZONES = tuple(f"z{index}" for index in range(6))
@@ -143,3 +144,49 @@
     one.now += 1.0
     found["act"] = measure(lambda: one.brain.act(one.now, [report]))
     return found
+
+
+# --- an edge's node list: endpoint discovery over REST-JSON, always whole
+
+
+def assignment(n: int, seed: int, version: int) -> bytes:
+    """Write a DiscoveryResponse of so many servers, one of which drains in each even version."""
+    zones: dict[str, list[dict[str, Any]]] = {}
+    for entry in entries(n, seed):
+        host, _, port = entry["dial"].rpartition(":")
+        at = {"socket_address": {"address": host, "port_value": int(port) + entry["block"] // 65536}}
+        drains = version % 2 == 0 and not entry["block"]
+        meta = {"shard": entry["block"], "up_since": entry["born_ms"]}
+        zones.setdefault(entry["site"], []).append(
+            {
+                "endpoint": {"address": at},
+                "health_status": "DRAINING" if drains else "HEALTHY",
+                "metadata": {"filter_metadata": {"cressrock": meta}},
+            }
+        )
+    groups = [{"locality": {"zone": zone}, "lb_endpoints": found} for zone, found in zones.items()]
+    resource = {"@type": TYPE_URL, "cluster_name": "storage", "endpoints": groups}
+    value = {
+        "version_info": str(version),
+        "nonce": str(version),
+        "type_url": TYPE_URL,
+        "resources": [resource],
+    }
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def edge_list_probe(n: int, seed: int) -> Iterator[Figure]:
+    """Measure an edge's list of n servers: a new version, and a poll that brings the present one."""
+    bodies = [assignment(n, seed, version) for version in (1, 2)]
+
+    def known() -> ListState:
+        state = ListState("storage", max_nodes=1 << 20)
+        state.receive(bodies[0], 1.0, LONG_AGO + 2e9)
+        return state
+
+    yield Figure("nodelist.whole.bytes", len(bodies[1]), "bytes", EDGE, "change")
+    took = fresh_cpu_ms(known, lambda state: state.receive(bodies[1], 2.0, LONG_AGO + 2e9))
+    yield Figure("nodelist.whole.receive.cpu_ms", took, "ms", EDGE, "change")
+    again = fresh_cpu_ms(known, lambda state: state.receive(bodies[0], 2.0, LONG_AGO + 2e9))
+    yield Figure("nodelist.poll.cpu_ms", again, "ms", EDGE, "calm")
+    yield Figure("nodelist.held_bytes", held_bytes(known)[0], "bytes", EDGE, "calm")
--- a/cressrock/lab/localcost_sockets.py
+++ b/cressrock/lab/localcost_sockets.py
@@ -53,6 +53,7 @@
     def data_received(self, data: bytes) -> None:
         """Answer what is whole."""
         self.buffer += data
+        self.hall.bytes += len(data)
         while b"\r\n\r\n" in self.buffer:
             head, _, self.buffer = self.buffer.partition(b"\r\n\r\n")
             self.hall.calls += 1
@@ -79,8 +80,9 @@
             self._write(self.hall.since(after))
 
     def _write(self, body: bytes) -> None:
-        self.hall.sent += len(body)
-        self.transport.write(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body)
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+        self.hall.bytes += len(answer)
+        self.transport.write(answer)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Forget its watch."""
@@ -116,7 +118,8 @@
         self.version = 1
         self.changes: dict[int, list[dict[str, Any]]] = {}
         self.waiting: dict[Listing, int] = {}
-        self.calls = self.sent = self.dialled = 0
+        self.calls = self.dialled = 0
+        self.bytes = 0  # of discovery's connections, both ways
 
     async def open(self) -> None:
         """Listen."""
@@ -415,6 +418,18 @@
     raise RuntimeError(f"the child did not tell its {word}")
 
 
+async def discovery_calm(n: int, seed: int) -> AsyncIterator[Figure]:
+    """Measure what a dispatcher asks of discovery: at its birth with a list that is new, and in calm."""
+    async with dispatcher(n, seed) as (hall, _, _):
+        await asyncio.sleep(1.0)
+        yield Figure("discovery.birth.bytes", hall.bytes, "bytes", scene="birth")
+        calls, size, began = hall.calls, hall.bytes, time.monotonic()
+        await asyncio.sleep(20.0)
+        took = time.monotonic() - began
+        yield Figure("discovery.calm.calls_s", (hall.calls - calls) / took, "1/s", scene="calm")
+        yield Figure("discovery.calm.bytes_s", (hall.bytes - size) / took, "B/s", scene="calm")
+
+
 async def requests_served(n: int, seed: int) -> AsyncIterator[Figure]:
     """Measure a request through a dispatcher over n servers: any of them asked, or a few of them."""
     async with dispatcher(n, seed) as (hall, process, port):
