Capacity: a request while the storage servers of a zone hang

Need: inside, a turn runs through every server at which something waits; what that comes to through the sockets had no row.

--- a/cressrock/lab/localcost_sockets.py
+++ b/cressrock/lab/localcost_sockets.py
@@ -109,12 +109,25 @@
             self.transport.write(REPLY * len(commands))
 
 
+class Hanging(asyncio.Protocol):
+    """A connection to a storage server that hangs."""
+
+    def __init__(self, hall: Hall) -> None:
+        """`hall` counts."""
+        self.hall = hall
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take it, and say nothing ever."""
+        self.hall.dialled += 1
+
+
 class Hall:
     """Discovery and storage servers of one dispatcher."""
 
-    def __init__(self, n: int, seed: int) -> None:
-        """`n` servers, one for each shard."""
+    def __init__(self, n: int, seed: int, *, hangs: bool = False) -> None:
+        """`n` servers, one for each shard; `hangs`: those of one zone of six hang."""
         self.entries = entries(n, seed)
+        self.hangs = hangs
         self.version = 1
         self.changes: dict[int, list[dict[str, Any]]] = {}
         self.waiting: dict[Listing, int] = {}
@@ -131,6 +144,11 @@
         ports = [server.sockets[0].getsockname()[1] for server in self.servers]
         for index, entry in enumerate(self.entries):
             entry["dial"] = f"127.0.0.1:{ports[index % PORTS]}"
+        if self.hangs:
+            self.servers.append(await loop.create_server(lambda: Hanging(self), "127.0.0.1", 0, backlog=1024))
+            for entry in self.entries:
+                if entry["site"] == ZONES[0]:
+                    entry["dial"] = f"127.0.0.1:{self.servers[-1].sockets[0].getsockname()[1]}"
         self.whole = _json(self._value(True, self.entries))
         self.servers.append(await loop.create_server(lambda: Listing(self), "127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.servers[-1].sockets[0].getsockname()[1]}"
@@ -236,13 +254,15 @@
     before: Sequence[str] = (),
     born_empty: bool = False,
     sockets: int = SOCKETS,
+    hangs: bool = False,
 ) -> AsyncIterator[tuple[Hall, Process, int]]:
     """Start `cressrock platform` over n servers; gives its hall, its process and its port.
 
     `child`: how `localcost_child` runs it; without it the program itself is run.  `before` stands before the
     command; `born_empty`: it hears its list from discovery and is born with none.
+    `hangs`: the servers of one zone of six take connections and never answer.
     """
-    hall = Hall(n, seed)
+    hall = Hall(n, seed, hangs=hangs)
     await hall.open()
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
@@ -449,6 +469,20 @@
             yield figure
 
 
+async def requests_hanging(n: int, seed: int) -> AsyncIterator[Figure]:
+    """Measure a request to any server while those of one zone of six hang, and one in six waits for them."""
+    async with dispatcher(n, seed, hangs=True) as (_, process, port):
+        idle = await _cpu(process, asyncio.sleep(1.0))
+        load = Load(port, n, seed)
+        await load.steady(300, 3.0, clients=600)
+        before, began = load.count, time.monotonic()
+        cpu = await _cpu(process, load.steady(300, 4.0, clients=600))
+        cpu -= idle * (time.monotonic() - began)
+        made = max(1, load.count - before)
+        yield Figure("request.hanging.cpu_ms", cpu / made, "ms", scene="a zone hangs")
+        yield Figure("request.hanging.served", load.served / load.count, "part", scene="a zone hangs")
+
+
 async def _served(name: str, load: Load, hall: Hall, process: Process, idle: float) -> AsyncIterator[Figure]:
     await load.steady(300, 1.0)
     served, dialled, began = load.served, hall.dialled, time.monotonic()
