Capacity: what the page says of one process, with its figures filled in from runs

Need: role, mechanism, verdict and sentence of each thing, such that no figure stands in a sentence without the run that gave it.

Change: lab/localcost_rows.py has the lines; a sentence names raw rows and gets their figures at the coming size; a line without its run says so and loses its verdict.

--- a/tests/test_capacity_local.py
+++ b/tests/test_capacity_local.py
@@ -10,11 +10,15 @@
 import pytest
 
 from cressrock.council import decrees as d
+from cressrock.errors.lab import CapacityUnfit
+from cressrock.lab import capacity
 from cressrock.lab import localcost as lc
 from cressrock.lab import localcost_lists as lists
 from cressrock.lab import localcost_requests as requests
+from cressrock.lab import localcost_rows as page
 from cressrock.lab import localcost_state as state
 from cressrock.lab.capacity import SIZES as AT_SIZE
+from cressrock.lab.capacity import Measurement
 from cressrock.platform.serverlist import ServerList
 from cressrock.resp import codec
 from cressrock.resp.front import Front, FrontBounds
@@ -234,3 +238,38 @@
     rows = [figure.row for figure in figures]
     assert len(set(rows)) == len(rows)
     assert json.loads(lists.whole(lists.entries(3, 1)))["hosts"][2]["block"] == 2
+
+
+# --- what the page says of it
+
+
+def measured(row, n, value, of="servers"):
+    return Measurement(
+        row=row, n=n, seed=1, value=value, unit="ms", role="dispatcher", scene="calm", at_commit="x",
+        command="x", seconds=1.0, of=of,
+    )  # fmt: skip
+
+
+def test_a_sentence_gets_its_figures_from_runs():
+    held = capacity.rows([measured("a.b", n, 2.0 * n) for n in (1000, 5000, 10000)])
+    said = page.filled("whole {a.b}, at 1,000 {a.b@1000}, each {a.b/n}, three {a.b*3}", held)
+    assert said == "whole 20,000, at 1,000 2,000, each 2, three 60,000"
+
+
+@pytest.mark.parametrize("sentence", ["{a.c}", "{a.b@77}"])
+def test_a_sentence_without_its_run_is_refused(sentence):
+    held = capacity.rows([measured("a.b", n, 2.0 * n) for n in (1000, 5000, 10000)])
+    with pytest.raises(CapacityUnfit, match=r"a\.[bc]"):
+        page.filled(sentence, held)
+
+
+def test_a_line_that_was_not_measured_says_so():
+    text = page.table([])
+    assert text.count("| not measured |") == len(page.LINES)
+    assert not any(f"| {verdict} |" in text for verdict in page.VERDICTS)
+
+
+def test_each_line_has_a_verdict_and_names_its_rows():
+    for line in page.LINES:
+        assert line.verdict in page.VERDICTS, line
+        assert page.named(line.sentence), line
