Capacity: the switch between real processes is tested

Need: bytes of real processes are what the switch counts, and nothing held that it counts the right sender's.

Change: a test over loopback: a datagram, its answer by the sender's address, and a stream.

--- a/tests/test_capacity_local.py
+++ b/tests/test_capacity_local.py
@@ -5,14 +5,18 @@
 planner's step through all its edges, a renewal through all decrees).
 """
 
+import asyncio
 import json
+import socket
 
+import anyio
 import pytest
 
 from cressrock.council import decrees as d
 from cressrock.errors.lab import CapacityUnfit
 from cressrock.lab import capacity
 from cressrock.lab import localcost as lc
+from cressrock.lab import localcost_fleet as fleet
 from cressrock.lab import localcost_lists as lists
 from cressrock.lab import localcost_requests as requests
 from cressrock.lab import localcost_rows as page
@@ -273,3 +277,59 @@
     for line in page.LINES:
         assert line.verdict in page.VERDICTS, line
         assert page.named(line.sentence), line
+
+
+# --- what counts between real processes
+
+
+def test_the_switch_hands_on_and_counts_by_who_sent():
+    async def story():
+        found = {}
+        async with anyio.create_task_group() as tasks:
+            switch = fleet.Switch(tasks)
+            ends = {}
+            for name in ("d0", "p0"):
+                end = ends[name] = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+                end.bind(("127.0.0.1", 0))
+                end.setblocking(False)
+                switch.target(name, "fleet", f"127.0.0.1:{end.getsockname()[1]}")
+
+            async def echo(reader, writer):
+                writer.write(await reader.read(100))
+                writer.close()
+
+            server = await asyncio.start_server(echo, "127.0.0.1", 0)
+            switch.target("p0", "link", f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+            to = switch.address("d0", "p0", "fleet")
+            link = switch.address("d0", "p0", "link")
+            assert switch.address("p0", "d0", "fleet") != to
+            while any(port.server is None for port in switch.ports.values()):
+                await anyio.sleep(0.001)
+            loop = asyncio.get_running_loop()
+            host, _, port = to.rpartition(":")
+            await loop.sock_sendto(ends["d0"], b"word", (host, int(port)))
+            data, sender = await loop.sock_recvfrom(ends["p0"], 100)
+            # Who answers the sender's address answers through the switch as well.
+            await loop.sock_sendto(ends["p0"], b"answer", sender)
+            found["heard"] = (data, (await loop.sock_recvfrom(ends["d0"], 100))[0])
+            reader, writer = await asyncio.open_connection("127.0.0.1", int(link.rpartition(":")[2]))
+            writer.write(b"stream")
+            found["echo"] = await reader.read()
+            writer.close()
+            switch.close()
+            server.close()
+            for end in ends.values():
+                end.close()
+            found["passed"] = switch.passed
+        return found
+
+    async def bounded():
+        with anyio.fail_after(30):
+            return await story()
+
+    found = anyio.run(bounded)
+    assert found["heard"] == (b"word", b"answer")
+    assert found["echo"] == b"stream"
+    passed = found["passed"]
+    assert (passed.sent["d0"], passed.sent["p0"], passed.received["p0"]) == (4, 6, 4)
+    assert (passed.datagrams["d0"], passed.streams["link"], passed.unknown) == (1, 12, 0)
