--- a/cressrock/fleet/spread.py
+++ b/cressrock/fleet/spread.py
@@ -322,6 +322,12 @@
             found[origin] = payload
         return found
 
+    def value(self, key: str, origin: Origin) -> bytes | None:
+        """Return the value that one origin has put under the key; unlike `get` it looks at nobody else."""
+        state = self._states.get(origin)
+        entry = state.entries.get((VALUE, key, "", "", 0)) if state is not None else None
+        return entry.payload if entry is not None and isinstance(entry.payload, bytes) else None
+
     def origins(self, key: str) -> list[Origin]:
         """Return who has put a value under the key, sorted."""
         return sorted(origin for _, origin in self._live.get((VALUE, key), ()))
--- a/cressrock/ground.py
+++ b/cressrock/ground.py
@@ -255,7 +255,7 @@
         """Look at what a merge changed; called by the fleet after each."""
         for origin, key in self.spread.changes():
             if key.startswith((PREFIX, BEAT)):
-                value = self.spread.get(key).get(origin)
+                value = self.spread.value(key, origin)
                 if value is not None:
                     self._take(key, value)
             for tell in self.when_spread:
--- a/cressrock/lab/hollow.py
+++ b/cressrock/lab/hollow.py
@@ -235,7 +235,7 @@
         assert spread is not None
         for origin, key in spread.changes():
             if key.startswith((PREFIX, BEAT)):
-                value = spread.get(key).get(origin)
+                value = spread.value(key, origin)
                 if value is not None:
                     for decree in host.taker.take(key, value)[0]:
                         self.took(host, decree)
--- a/cressrock/lab/hollow_turns.py
+++ b/cressrock/lab/hollow_turns.py
@@ -131,6 +131,7 @@
         "members.pieces": best(members.pieces),
         "spread.admit": best(lambda: spread.admit(lives)),
         "spread.digest": best(lambda: spread.digest(1150)),
+        "spread.one_value": best(lambda: spread.value(WORD, origin)),
         "spread.whole_key": best(lambda: spread.get(WORD).get(origin)),
         "zones.edge": best(edge),
         "zones.leader": best(leader),
--- a/cressrock/presence/carrier.py
+++ b/cressrock/presence/carrier.py
@@ -222,7 +222,7 @@
         if (origin, key) == ANYTHING:
             self._read_all()
         elif key.startswith(r.PREFIX):
-            self.rooms.told(self.now(), origin, key, self.place.spread.get(key).get(origin))
+            self.rooms.told(self.now(), origin, key, self.place.spread.value(key, origin))
             self._pump()
 
     def _read_all(self) -> None:
--- a/cressrock/rollout/carrier.py
+++ b/cressrock/rollout/carrier.py
@@ -322,7 +322,7 @@
             self._take_all()
         if not (key.startswith(e.SEEN) or key == e.BACK):
             return
-        value = self.ground.spread.get(key).get(origin)
+        value = self.ground.spread.value(key, origin)
         if value is not None:
             self._take(origin, key, value)
 
--- a/cressrock/zones/carrier.py
+++ b/cressrock/zones/carrier.py
@@ -46,6 +46,9 @@
     def get(self, key: str) -> dict[Origin, bytes]:
         """Return the value of each origin."""
 
+    def value(self, key: str, origin: Origin) -> bytes | None:
+        """Return the value of one."""
+
 
 class Kept(Protocol):
     """What is asked of the decrees' reader."""
@@ -151,12 +154,14 @@
     def heard(self, origin: Origin, key: str) -> None:
         """Take a changed entry; an empty key says that anything may have changed."""
         now = self.clock()
-        for one in [key] if key else [f"{PREFIX}{n}" for n in range(MAX_PIECES)]:
-            if not one.startswith(PREFIX):
-                continue
-            found = self.ground.spread.get(one)
-            for who in [origin] if key else list(found):
-                self.all.take(who, one, found.get(who), now)
+        if key:
+            if key.startswith(PREFIX):
+                # Of this origin alone: looking at everybody for each change is n squared in all.
+                self.all.take(origin, key, self.ground.spread.value(key, origin), now)
+            return
+        for one in (f"{PREFIX}{n}" for n in range(MAX_PIECES)):
+            for who, value in self.ground.spread.get(one).items():
+                self.all.take(who, one, value, now)
 
     def alive(self) -> list[Who]:
         """Return the members, and forget the words of those who are not surely alive."""
--- a/tests/test_spread.py
+++ b/tests/test_spread.py
@@ -39,6 +39,8 @@
                 maps.setdefault(key, {}).setdefault(item, {})[origin] = payload
     for key, value in values.items():
         assert s.get(key) == value and s.origins(key) == sorted(value)
+        for origin in held:
+            assert s.value(key, origin) == value.get(origin)
     for key, value in counts.items():
         assert s.counts(key) == value and s.total(key) == sum(value.values())
     shown = {}
