Bounds of members, spread, evidence, readers and lists stand above the coming size

Need: 4,806 processes and 10,000 servers; a bound under that drops members or origins without a fault of theirs.

Change: MembersSettings.max_members and SpreadSettings.max_origins 8,192 (the gone of an hour beside 4,806), the zones' evidence takes the spread's bound, rollouts' MAX_ORIGINS 16,384 (three lives each), a reader of decrees 16,384 topics, serverlist.MOST_TOLD, the ledger's and the settings' max_nodes 16,384.

--- a/cressrock/council/client.py
+++ b/cressrock/council/client.py
@@ -245,7 +245,7 @@
     """
 
     def __init__(
-        self, path: str | Path | None, clock: Callable[[], float], *, max_topics: int = 4096
+        self, path: str | Path | None, clock: Callable[[], float], *, max_topics: int = d.MOST_TOPICS
     ) -> None:
         """Without a path nothing is kept.  A file that cannot be read is put aside: `torn` says why.
 
--- a/cressrock/council/decrees.py
+++ b/cressrock/council/decrees.py
@@ -37,6 +37,7 @@
 _T = TypeVar("_T")
 Text = Annotated[str, msgspec.Meta(max_length=256)]
 Topic = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+MOST_TOPICS = 16384  # that a reader keeps: one for each of 10,000 servers, and others; `Limits` has its own
 MAX_VALUE = 1 << 19  # the codec's outermost bound; limits are far lower
 Value = Annotated[bytes, msgspec.Meta(max_length=MAX_VALUE)]
 Whole = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
@@ -358,7 +359,7 @@
     a newer beat is heard.
     """
 
-    def __init__(self, seen: bytes = b"", *, max_topics: int = 4096) -> None:
+    def __init__(self, seen: bytes = b"", *, max_topics: int = MOST_TOPICS) -> None:
         """`seen` is what `seen()` gave in a former life.  Raises BadDecree, StoreNewer."""
         self.max_topics = max_topics
         self.floor = 0  # numbers at or below are not taken for topics that are not known any more
--- a/cressrock/council/news.py
+++ b/cressrock/council/news.py
@@ -106,7 +106,7 @@
     Bounded by `most` decrees, and by the beats of the newest numbers.
     """
 
-    def __init__(self, most: int = 4096) -> None:
+    def __init__(self, most: int = d.MOST_TOPICS) -> None:
         """Start with nothing heard."""
         self.most = most
         self.held: dict[str, d.Decree] = {}
--- a/cressrock/dispatch/ledger.py
+++ b/cressrock/dispatch/ledger.py
@@ -99,7 +99,7 @@
         drain_grace_ms: float,
         answer_slack_ms: float,
         max_open: int,
-        max_nodes: int = 4096,
+        max_nodes: int = 16384,
     ) -> None:
         """Start with nothing owed and no node known."""
         self.drain_grace_ms = drain_grace_ms
--- a/cressrock/fleet/members.py
+++ b/cressrock/fleet/members.py
@@ -64,7 +64,7 @@
     ride_out_ms: float = 2000.0  # a process stopped for so long is not declared gone
     health_worst: int = 8
     max_datagram: int = m.MAX_DATAGRAM
-    max_members: int = 4096
+    max_members: int = 8192  # 4,806 at the coming size, and names that are gone but kept; 0.9 KB each
     keep_ms: float = 3_600_000.0  # the gone and the left are remembered, so that no late rumour revives them
     lost_contacts: float = 2.0  # a gone member is contacted so often in a period by the whole fleet
     exchange_ms: float = 120_000.0  # full exchange with one member drawn, in a fleet of up to `exchange_size`
--- a/cressrock/fleet/spread.py
+++ b/cressrock/fleet/spread.py
@@ -119,7 +119,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SpreadSettings:
-    """Bounds; the same in all processes.  Defaults fit 1,024 members and datagrams of 1,200 bytes.
+    """Bounds; the same in all processes.  Defaults fit 4,806 members and datagrams of 1,200 bytes.
 
     An entry of the largest key, item and value still fits one datagram beside the envelope: what does not fit
     moves by the full exchange alone, and holds up what its origin writes after it.
@@ -128,7 +128,7 @@
     max_key: int = 128  # bytes of a key or an item
     max_value: int = 640  # bytes of a value
     max_origin_bytes: int = 256 * 1024  # own entries; twice that is taken of another, which may lag behind
-    max_origins: int = 1280  # 1,024 members, and lives that are gone but not forgotten
+    max_origins: int = 8192  # as many as members: 4,806 at the coming size, and lives that are gone but kept
     max_total_bytes: int = 64 * 1024 * 1024  # of which max_origin_bytes are kept free for own entries
     max_parcel: int = 1024 * 1024  # bytes that `merge` and `delta` look at
     max_ahead: int = 64  # stretches known beyond a gap, for each origin; the farthest are forgotten first
--- a/cressrock/platform/serverlist.py
+++ b/cressrock/platform/serverlist.py
@@ -11,7 +11,7 @@
 STATES = {"active": NodeState.READY, "leaving": NodeState.DRAINING, "left": NodeState.GONE}
 
 
-MOST_TOLD = 4096  # as many servers as the ledger holds
+MOST_TOLD = 16384  # as many servers as the ledger holds: 10,000 at the coming size, and starts before
 
 
 class ListError(ValueError):
--- a/cressrock/rollout/evidence.py
+++ b/cressrock/rollout/evidence.py
@@ -31,7 +31,7 @@
 MARKS = ("refused", "failed", "left", "late", "slow")  # kinds of bad answers, each tested by itself
 SLOW = 0.5  # of the aim: half of it is where a rise shows before clients feel it
 MAX_CLASSES = 64
-MAX_ORIGINS = 4096  # lives: three of each of 1,024 processes in one rollout, and some
+MAX_ORIGINS = 16384  # lives: three of each of 4,806 processes in one rollout, and some; 1.2 KB each
 
 Origin = tuple[str, int]
 _T = TypeVar("_T")
--- a/cressrock/settings/types.py
+++ b/cressrock/settings/types.py
@@ -124,7 +124,7 @@
     poll_ms: Positive = 1000.0
     timeout_ms: Positive = 2000.0
     cache: str | None = None  # a file that keeps the last list over restarts
-    max_nodes: Count = 4096
+    max_nodes: Count = 16384  # 2 KB each while a list is taken in
     max_body_bytes: Bytes = 4194304
 
 
--- a/cressrock/zones/evidence.py
+++ b/cressrock/zones/evidence.py
@@ -22,6 +22,7 @@
 from msgspec import Meta, Struct
 
 from cressrock.errors.zones import ZonesError
+from cressrock.fleet.spread import SpreadSettings
 from cressrock.interface import Outcome
 from cressrock.zones.terms import VERSION, Zones, take
 
@@ -345,7 +346,7 @@
 class All:
     """What is known of all edges' words.  Merging keeps each origin's newest beat, in whatever order."""
 
-    def __init__(self, settings: Zones, *, max_origins: int = 1280) -> None:
+    def __init__(self, settings: Zones, *, max_origins: int = SpreadSettings().max_origins) -> None:
         """`max_origins` is as the spread's own."""
         self.settings = settings
         self.max_origins = max_origins
