docs/CAPACITY.md and its maker: targets, what passes between processes, slopes

A cell whose rows have no run says not measured; a ~ marks what was drawn out. at_commit names changed code by a +, not changed raw files.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -174,10 +174,14 @@
 
 
 def commit():
+    """Return the commit that is measured; with a + where its code was changed since."""
     told = subprocess.run(
-        ["git", "describe", "--always", "--dirty"], cwd=ROOT, capture_output=True, text=True, check=True
+        ["git", "rev-parse", "--short", "HEAD"], cwd=ROOT, capture_output=True, text=True, check=True
     )
-    return told.stdout.strip()
+    changed = subprocess.run(
+        ["git", "diff", "--quiet", "HEAD", "--", "cressrock", "benchmarks/capacity.py"], cwd=ROOT, check=False
+    )
+    return told.stdout.strip() + "+" * bool(changed.returncode)
 
 
 def measured(job, found, seconds, at):
--- a/cressrock/lab/capacity_page.py
+++ b/cressrock/lab/capacity_page.py
@@ -1,18 +1,351 @@
-"""docs/CAPACITY.md's tables from raw measurements, and the page of results.  Pure."""
+"""docs/CAPACITY.md's tables from raw measurements, and the page of results.  Pure.
+
+Cells are texts with rows' names in braces.  `{row}` becomes the figure at the coming size, `{row@n}` the mean
+of the runs at a size, `{row*k}` the figure times k, `{one+other}` a sum.  A figure that was drawn out has a ~
+before it; the table of slopes says from where to where.  A cell that names a row without a run becomes *not
+measured*, whole: so there is no figure on the page without its run.
+"""
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+import re
+import statistics
+from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
 
-from cressrock.lab import capacity
+from cressrock.errors.lab import CapacityUnfit
+from cressrock.lab import capacity, localcost_rows
 from cressrock.lab.capacity import Measurement
+from cressrock.lab.localcost_rows import BOUND, CARRIED, NOT
+
+MISSING = "*not measured*"
+BEGIN, END = "<!-- figures: {} -->", "<!-- end of figures -->"
+
+_PART = r"[a-z0-9_]+(?:\.[a-z0-9_]+)+(?:@[0-9]+)?(?:\*[0-9.]+)?"
+_NAMED = re.compile(r"\{(" + _PART + r"(?:\+" + _PART + r")*)\}")
+_ONE = re.compile(r"([a-z0-9_.]+)(?:@([0-9]+))?(?:\*([0-9.]+))?\Z")
+_BLOCK = re.compile(r"(<!-- figures: ([a-z ]+) -->\n).*?(<!-- end of figures -->)", re.S)
+
+Rows = Mapping[str, Sequence[Measurement]]
+
+
+class Target(NamedTuple):
+    """A target, what is reached, what is missing, and when that should come."""
+
+    target: str
+    reached: str
+    missing: str
+    comes: str
+
+
+class Line(NamedTuple):
+    """What a role does between processes, and what that costs."""
+
+    role: str
+    thing: str
+    state: str
+    calm: str
+    busiest: str
+    lost: str
+    cpu: str
+    mechanism: str
+    verdict: str
+
+
+TARGETS = (
+    Target(
+        "4,800 dispatchers before 10,000 storage servers, 2 regions, 6 zones",
+        "who is there: {members.calm.sent_bytes_s} B/s, {members.calm.messages_s} datagrams a second, "
+        "{memory.members} MB; a death is known to all after {members.rack.gone_ms_last} ms",
+        "a list of servers taken in parts (one turn is {serverlist.whole.turn_ms} ms)",
+        "fourth",
+    ),
+    Target(
+        "control at most 2 KB a second",
+        "members {members.calm.sent_bytes_s} B/s; with a spread in which nothing is written "
+        "{spread.quiet.sent_bytes_s}; with eight decrees renewed {spread.beats.sent_bytes_s}; while anybody "
+        "accuses a zone {spread.evidence.sent_bytes_s}",
+        "evidence to collectors; then renewals that do not name every decree, and digests less often in calm",
+        "first, second",
+    ),
+    Target(
+        "control at most 4.3 % of a core",
+        "members {members.calm.cpu} %, with a quiet spread {spread.quiet.cpu}, while anybody accuses a zone "
+        "{spread.evidence.cpu} and {turn.zones.edge*0.4} more for looking at everybody's words four times a "
+        "second",
+        "evidence to collectors: no process but they holds everybody's words",
+        "first",
+    ),
+    Target(
+        "control at most 64 MB",
+        "{memory.members+memory.spread+memory.zones_evidence+memory.rollout_evidence} MB of state: members "
+        "{memory.members}, spread {memory.spread}, words {memory.zones_evidence}, counts "
+        "{memory.rollout_evidence}",
+        "nothing",
+        "",
+    ),
+    Target(
+        "11 changes of primary a day, each over within 11 s",
+        "from the decision to all {spread.primaries.decree_ms_p99} ms (p99), as a zone is lost",
+        "the figure at the size itself; the election and the copies' part are not in it",
+        "after the first",
+    ),
+    Target(
+        "9,100 changes of configuration a day, in force everywhere within 15 s",
+        "at 63 a minute {spread.changes.decree_ms_p99} ms (p99) at {spread.changes.sent_bytes_s} B/s; four "
+        "decrees while anybody accuses a zone {spread.evidence.decree_ms_p99} ms, "
+        "{spread.evidence.decree_missing} of pairs not there in 4 s",
+        "as in the second row: it is in time, at a rate over the target",
+        "second",
+    ),
+    Target(
+        "an ordinary day: 57 machines fail, 2,500 restart",
+        "pressed into five minutes {members.day.sent_bytes_s} B/s, {members.day.cpu} % of a core",
+        "nothing",
+        "",
+    ),
+    Target(
+        "a rack, a zone, regions apart",
+        "40 at once {members.rack.sent_bytes_s} B/s for 10 s; a sixth at once {members.zone.sent_bytes_s}; "
+        "regions apart {members.regions.cut_sent_bytes_s}, as they meet "
+        "{members.regions.healed_sent_bytes_s}",
+        "a bound on what a loss tells at once (all know of 40 as early as of 800)",
+        "third",
+    ),
+    Target(
+        "13 million connections, 8.5 million requests a second: 2,700 and 1,770 a dispatcher",
+        "{connections.platform.held_bytes} bytes for 2,700 connections; "
+        "{request.steady.few.cpu_ms*1.77} to {request.steady.any.cpu_ms*1.77} cores for 1,770 requests",
+        "several processes for one dispatcher",
+        "fifth",
+    ),
+)
+
+LINES = (
+    Line(
+        "edge",
+        "members",
+        "{memory.members} MB; {whole.members.whole} bytes at a join",
+        "{members.calm.sent_bytes_s} B/s, {members.calm.messages_s}/s",
+        "{members.day.sent_bytes_s} B/s, {members.day.messages_s}/s",
+        "rack {members.rack.sent_bytes_s}, zone {members.zone.sent_bytes_s} (back "
+        "{members.zone.back_sent_bytes_s}), regions {members.regions.cut_sent_bytes_s} and "
+        "{members.regions.healed_sent_bytes_s} B/s",
+        "calm {members.calm.cpu}, zone {members.zone.cpu} % of a core; a view {turn.members.view} ms",
+        "SWIM with Lifeguard, `fleet/members`; `max_members` 8,192",
+        CARRIED,
+    ),
+    Line(
+        "edge",
+        "spread, nothing written",
+        "{memory.spread} MB with a word of each; {whole.spread.whole} bytes at a join",
+        "{spread.quiet.digest_bytes_s} B/s of digests",
+        "as in calm",
+        "an admit of {turn.spread.admit} ms a round while lives change",
+        "{spread.quiet.cpu} % of a core, members with it",
+        "a digest each 200 ms, `fleet/rounds`; `max_origins` 8,192",
+        f"{NOT}: five digests a second are over the target; one a second is under it",
+    ),
+    Line(
+        "edge",
+        "evidence of zones",
+        "{memory.zones_evidence} MB",
+        "a word each 10 s: " + MISSING,
+        "0.18 words a second of each: {spread.evidence.sent_bytes_s} B/s; a reader is behind by "
+        "{spread.evidence.lag_rounds_median} rounds, {spread.evidence.lag_rounds_p99} (p99)",
+        "as in the busiest minute",
+        "{spread.evidence.cpu} % of a core, and {turn.zones.edge*0.4} for its own look each 250 ms",
+        "`spread`, from everybody to everybody; `zones.tells` 40 a second",
+        f"{NOT}: collectors",
+    ),
+    Line(
+        "edge",
+        "evidence of rollouts",
+        "{memory.rollout_evidence} MB",
+        "none",
+        MISSING + " (a count each 2 s is 2.8 times the words beside)",
+        "as in the busiest minute",
+        MISSING,
+        "`spread`; `MAX_ORIGINS` 16,384 lives",
+        f"{NOT}: collectors",
+    ),
+    Line(
+        "edge",
+        "decrees",
+        "in the table below",
+        "eight renewed {spread.beats.sent_bytes_s} B/s",
+        "63 a minute, 96 renewed: {spread.changes.sent_bytes_s} B/s, in force after "
+        "{spread.changes.decree_ms_median} ms, {spread.changes.decree_ms_p99} (p99)",
+        "11 as a zone is lost: {spread.primaries.decree_ms_p99} ms (p99), {spread.primaries.decree_missing} "
+        "of pairs missing",
+        "{spread.beats.cpu}, {spread.changes.cpu} % of a core",
+        "`council/news` in the spread; a beat each 500 ms names all numbers; `Taker` 16,384 topics",
+        f"{NOT}: in time, but a beat as an entry is told as often as a word",
+    ),
+    Line(
+        "planner",
+        "members, spread, decrees",
+        "as an edge",
+        "as an edge",
+        "as an edge",
+        "as an edge",
+        "as an edge",
+        "as an edge; its grants are in the table below",
+        NOT,
+    ),
+    Line(
+        "council seat",
+        "verdict about zones",
+        "{memory.zones_evidence} MB",
+        "none",
+        "none",
+        "one decree",
+        "{turn.zones.leader} ms each 250 ms: {turn.zones.leader*0.4} % of a core",
+        "`zones/verdict` over everybody's words",
+        f"{BOUND}: a seat's machine is set aside, and the loop stands still meanwhile",
+    ),
+    Line(
+        "set aside for control",
+        "collectors (their own branch's runs)",
+        MISSING,
+        "an edge {collect.calm.sent_bytes_s} B/s; a collector hears "
+        "{collect.calm.collector_received_bytes_s}",
+        MISSING,
+        "zone: an edge {collect.zone.sent_bytes_s} B/s, at the verdict after "
+        "{collect.zone.at_verdict_ms_p99} ms, in force after {collect.zone.in_force_ms_p99} ms (p99)",
+        "a zone {collect.zone.zone_core*100} % of a core",
+        "`collect`",
+        "see their figures",
+    ),
+)
 
 
 def results(measurements: Sequence[Measurement]) -> str:
     """Return `benchmarks/results/capacity.md`."""
-    return "# Capacity\n\n" + capacity.tables(measurements)
+    return (
+        "# Capacity\n\n"
+        "Written by `python benchmarks/capacity.py --page` from all `capacity*.jsonl` here: of each row what\n"
+        "was measured (of one size and seed the last run), what it grows with, the figure at the coming size.\n"
+        "`cpu` is the processor time of a whole simulation over processes and simulated seconds, sockets and\n"
+        "tasks not in it, on a machine that ran other work: of several runs the least counts. `agree` is\n"
+        "unshared state machines over hollow ones. How it is fitted: `cressrock/lab/capacity.py`.\n\n"
+    ) + capacity.tables(_all_least(measurements))
 
 
 def page(measurements: Sequence[Measurement], text: str) -> str:
-    """Return the page with its tables made anew."""
-    return text
+    """Return the page `text` with the tables between its markers made anew.
+
+    Raises CapacityUnfit where a marker names a table that is not known.
+    """
+    held = _all_least(measurements)
+    rows = capacity.rows(held)
+    made = {
+        "targets": lambda: targets(rows),
+        "between processes": lambda: between(rows),
+        "inside one process": lambda: localcost_rows.table(held),
+        "slopes": lambda: slopes(rows),
+    }
+
+    def one(found: re.Match[str]) -> str:
+        if found[2] not in made:
+            raise CapacityUnfit(f"the page has a marker for {found[2]!r}; known are {sorted(made)}")
+        return found[1] + made[found[2]]() + found[3]
+
+    return _BLOCK.sub(one, text)
+
+
+def targets(rows: Rows) -> str:
+    """Return the table that stands first."""
+    said = ["| target | reached | missing | comes |", "| --- | --- | --- | --- |"]
+    said += [
+        f"| {one.target} | {filled(one.reached, rows)} | {filled(one.missing, rows)} | {one.comes} |"
+        for one in TARGETS
+    ]
+    return "\n".join(said) + "\n"
+
+
+def between(rows: Rows) -> str:
+    """Return the table of what roles do between processes; figures of each process."""
+    said = [
+        "| role: thing | state | calm | busiest minute | rack, zone, region lost | processor | carried by |"
+        " verdict |",
+        "| --- | --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for one in LINES:
+        cells = (filled(cell, rows) for cell in (one.state, one.calm, one.busiest, one.lost, one.cpu))
+        said.append(
+            f"| {one.role}: {one.thing} | {' | '.join(cells)} | {one.mechanism} | {one.verdict} |"
+        )
+    return "\n".join(said) + "\n"
+
+
+def slopes(rows: Rows) -> str:
+    """Return where each row of the page comes from: law, range, seeds, command."""
+    said = ["| row | grows with | off by | how | seeds | command |", "| --- | --- | --- | --- | --- | --- |"]
+    for row in named():
+        measured = rows.get(row)
+        if not measured:
+            said.append(f"| `{row}` | {MISSING} | | | | |")
+            continue
+        found = capacity.fit(capacity.points(measured))
+        seeds = len({one.seed for one in measured})
+        where = capacity.at_size(list(measured)).where()
+        command = measured[0].command.removeprefix("python benchmarks/")
+        said.append(
+            f"| `{row}` | {capacity.law(found)} | {found.residual:.0%} | {where} | {seeds} | `{command}` |"
+        )
+    return "\n".join(said) + "\n"
+
+
+def named() -> list[str]:
+    """Return the rows that the page's own tables name, sorted."""
+    texts = [cell for one in TARGETS for cell in one] + [cell for one in LINES for cell in one]
+    parts = [part for text in texts for found in _NAMED.finditer(text) for part in found[1].split("+")]
+    return sorted({_row(part)[0] for part in parts})
+
+
+def filled(text: str, rows: Rows) -> str:
+    """Return a cell with its figures, or that it was not measured."""
+    try:
+        return _NAMED.sub(lambda found: _sum(found[1].split("+"), rows), text)
+    except CapacityUnfit:
+        return MISSING
+
+
+def _row(part: str) -> tuple[str, int | None, float]:
+    found = _ONE.match(part)
+    assert found is not None
+    return found[1], int(found[2]) if found[2] else None, float(found[3] or 1)
+
+
+def _sum(parts: Iterable[str], rows: Rows) -> str:
+    total, drawn = 0.0, False
+    for part in parts:
+        row, size, times = _row(part)
+        measured = list(rows.get(row, ()))
+        if size is not None:
+            there = [one.value for one in measured if one.n == size]
+            if not there:
+                raise CapacityUnfit(f"no measurement of {row} at {size}")
+            total += statistics.fmean(there) * times
+        else:
+            estimate = capacity.at_size(measured)
+            total += estimate.value * times
+            drawn = drawn or not estimate.measured
+    return ("~" if drawn else "") + capacity.number(total)
+
+
+def _all_least(measurements: Sequence[Measurement]) -> list[Measurement]:
+    """Return all, of processor times of one size the least: what else a machine does only adds to them."""
+    found: list[Measurement] = []
+    for row, measured in capacity.rows(measurements).items():
+        if not (row.startswith("turn.") or row.endswith(".cpu") and not row.startswith("agree.")):
+            found += measured
+            continue
+        least: dict[tuple[int, int], Measurement] = {}
+        for one in measured:
+            held = least.get((one.n, one.servers))
+            if held is None or one.value < held.value:
+                least[one.n, one.servers] = one
+        found += least.values()
+    return found
