--- a/benchmarks/capacity_local.py
+++ b/benchmarks/capacity_local.py
@@ -32,7 +32,7 @@
 DECREES = (64, 256, 1024, 4096, 10000)
 ENTRIES = (64, 512, 2048, 9100)
 # Of real processes: an edge takes 45 MB that it shares with nobody, and 4 GB are there for them.
-REAL = (20, 40, 60, 85)
+REAL = (20, 40, 61, 85)
 CONNECTIONS = (100, 500, 1000, 2000, 2700)
 
 # group: (probe, what n counts, role, scene, sizes)
--- a/cressrock/lab/localcost_fleet.py
+++ b/cressrock/lab/localcost_fleet.py
@@ -271,9 +271,17 @@
         await anyio.sleep(SETTLE_S)
         pids = {name: self.processes.get(name).pid for name in names}
         before, used, began = self.relays_passed(), {n: usage(p) for n, p in pids.items()}, self.clock()
+        unsure = self._unsure()
         await anyio.sleep(CALM_S)
         after, now, ended = self.relays_passed(), {n: usage(p) for n, p in pids.items()}, self.clock()
-        self.figures = list(_figures(before, after, used, now, (ended - began) / 1000))
+        seconds = (ended - began) / 1000
+        unsure = (self._unsure() - unsure) / len(names) / seconds
+        self.figures = _figures(before, after, used, now, seconds)
+        self.figures.append(Figure("real.members.unsure_s", unsure, "1/s", EDGE))
+
+    def _unsure(self) -> float:
+        """Count how often a process held another unsure: on a busy machine calm is none."""
+        return sum(life.counts["fleet_unsure"] for life in self.processes.living())
 
     def relays_passed(self) -> Passed:
         """Return what has passed so far."""
