--- a/cressrock/lab/capacity_page.py
+++ b/cressrock/lab/capacity_page.py
@@ -13,10 +13,15 @@
 from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple
 
+from cressrock.council.decrees import MOST_TOPICS, Limits
 from cressrock.errors.lab import CapacityUnfit
+from cressrock.fleet.members import MembersSettings
+from cressrock.fleet.spread import SpreadSettings
 from cressrock.lab import capacity, localcost_rows
 from cressrock.lab.capacity import Measurement
 from cressrock.lab.localcost_rows import BOUND, CARRIED, NOT
+from cressrock.platform.serverlist import MOST_TOLD
+from cressrock.rollout.evidence import MAX_ORIGINS
 
 MISSING = "*not measured*"
 BEGIN, END = "<!-- figures: {} -->", "<!-- end of figures -->"
@@ -220,15 +225,39 @@
 )
 
 
+class Bound(NamedTuple):
+    """A bound as it stands in the code, what it holds at the size, and what a full one takes."""
+
+    name: str
+    stands: int
+    size: int
+    memory: str  # a row: megabytes at the size
+
+
+SERVERS = capacity.SIZES["servers"]
+ALL = capacity.SIZES["dispatchers"]
+
+BOUNDS = (
+    Bound("`MembersSettings.max_members`", MembersSettings().max_members, ALL, "memory.members"),
+    Bound("`SpreadSettings.max_origins`", SpreadSettings().max_origins, ALL, "memory.spread"),
+    Bound("zones' evidence, as the spread's", SpreadSettings().max_origins, ALL, "memory.zones_evidence"),
+    Bound("`rollout.evidence.MAX_ORIGINS`: lives", MAX_ORIGINS, 3 * ALL, "memory.rollout_evidence"),
+    Bound("`Taker.most`, `Reader`, `Kept`: topics", MOST_TOPICS, SERVERS, "decrees.reader.held_bytes"),
+    Bound("`serverlist.MOST_TOLD`, `max_nodes`", MOST_TOLD, SERVERS, "serverlist.held_bytes"),
+    Bound("the council's `Limits.max_topics`", Limits().max_topics, SERVERS, "decrees.seat.held_bytes"),
+)
+
+
 def results(measurements: Sequence[Measurement]) -> str:
     """Return `benchmarks/results/capacity.md`."""
     return (
         "# Capacity\n\n"
-        "Written by `python benchmarks/capacity.py --page` from all `capacity*.jsonl` here: of each row what\n"
-        "was measured (of one size and seed the last run), what it grows with, the figure at the coming size.\n"
-        "`cpu` is the processor time of a whole simulation over processes and simulated seconds, sockets and\n"
-        "tasks not in it, on a machine that ran other work: of several runs the least counts. `agree` is\n"
-        "unshared state machines over hollow ones. How it is fitted: `cressrock/lab/capacity.py`.\n\n"
+        "Written by `python benchmarks/capacity.py --page` from all `capacity*.jsonl` here: of each row\n"
+        "what was measured (of one size and seed the last run), what it grows with, and the figure at the\n"
+        "coming size. `cpu` is the processor time of a whole simulation over processes and simulated\n"
+        "seconds, sockets and tasks not in it, on a machine that ran other work: of several runs the least\n"
+        "counts. `agree` is unshared state machines over hollow ones. How it is fitted:\n"
+        "`cressrock/lab/capacity.py`.\n\n"
     ) + capacity.tables(_all_least(measurements))
 
 
@@ -243,6 +272,7 @@
         "targets": lambda: targets(rows),
         "between processes": lambda: between(rows),
         "inside one process": lambda: localcost_rows.table(held),
+        "bounds": lambda: bounds(rows),
         "slopes": lambda: slopes(rows),
     }
 
@@ -279,6 +309,22 @@
     return "\n".join(said) + "\n"
 
 
+def bounds(rows: Rows) -> str:
+    """Return the bounds as they stand in the code, beside what has to fit and what a full one takes."""
+    said = ["| bound | stands at | needed | full, it takes | |", "| --- | --- | --- | --- | --- |"]
+    for one in BOUNDS:
+        measured = rows.get(one.memory)
+        if measured:
+            # The row is of `SIZES` many; three lives of each are three times as many.
+            held = capacity.at_size(list(measured)).value / capacity.SIZES[measured[0].of] * one.stands
+            taken = f"{capacity.number(held if measured[0].unit == 'MB' else held / 1e6)} MB"
+        else:
+            taken = MISSING
+        verdict = CARRIED if one.stands > one.size else BOUND
+        said.append(f"| {one.name} | {one.stands:,} | {one.size:,} | {taken} | {verdict} |")
+    return "\n".join(said) + "\n"
+
+
 def slopes(rows: Rows) -> str:
     """Return where each row of the page comes from: law, range, seeds, command."""
     said = ["| row | grows with | off by | how | seeds | command |", "| --- | --- | --- | --- | --- | --- |"]
