--- a/benchmarks/capacity_local.py
+++ b/benchmarks/capacity_local.py
@@ -71,6 +71,7 @@
     "crowded": [(sockets.measured(sockets.requests_crowded), "servers", lc.DISPATCHER, "calm", SERVERS)],
     "hanging": [(sockets.measured(sockets.requests_hanging), "servers", lc.DISPATCHER, "calm", SERVERS)],
     "real": [(fleet.calm_probe, "dispatchers", lc.EDGE, "calm", REAL)],
+    "hollow": [(fleet.hollow_probe, "dispatchers", lc.EDGE, "calm", REAL)],
     "real_relays": [(fleet.relays_probe, "dispatchers", lc.EDGE, "calm", REAL[:1])],
     "real_zones": [(fleet.zones_probe, "dispatchers", lc.EDGE, "calm", REAL)],
     "calls": [(sockets.measured(sockets.system_calls), "servers", lc.DISPATCHER, "calm", SERVERS)],
--- a/cressrock/lab/localcost_fleet.py
+++ b/cressrock/lab/localcost_fleet.py
@@ -11,8 +11,10 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import socket
 import statistics
+import time
 from collections import Counter
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -21,9 +23,13 @@
 import anyio
 from anyio.abc import TaskGroup
 
+from cressrock.fleet.members import Identity, Members
+from cressrock.fleet.rounds import Rounds
+from cressrock.fleet.spread import Spread
 from cressrock.lab.common import Common, Told
 from cressrock.lab.day import Day, Script
 from cressrock.lab.faults import Way
+from cressrock.lab.hollow import HEADERS, Hollow, HollowFleet, Size, address
 from cressrock.lab.localcost import EDGE, PLANNER, Figure, Usage, usage
 from cressrock.lab.relays import HOST, Relays, _socket
 
@@ -349,6 +355,40 @@
     yield from calm(n, seed)
 
 
+class Named(HollowFleet):
+    """Hollow processes under the names, zones and regions of a drill's: names are most of a datagram."""
+
+    def _make(self, number: int, life: int, seeds: tuple[str, ...]) -> Hollow:
+        role = "planner" if number < SEATS else "edge"
+        name = f"p{number}" if number < SEATS else f"d{number - SEATS}"
+        me = Identity(name, life, address(number), role, f"z{number % 3}", "north")
+        source = random.Random(self.random.getrandbits(64))
+        host = Hollow(name, me.address, Members(me, self.settings, seeds, source, self.now))
+        host.spread = Spread(name, life, self.spread_settings, source)
+        host.rounds = Rounds(host.members, host.spread, self.rounds_settings, source, self.now)
+        self.hosts[host.address] = host
+        return host
+
+
+def hollow_probe(n: int, seed: int) -> Iterator[Figure]:
+    """Measure n edges and three planners as hollow processes, without loss, beside `calm_probe`.
+
+    Bytes are those of datagrams, as in `calm_probe`, without the 28 of UDP and IP that other hollow rows add.
+    """
+    fleet = Named(Size(n + SEATS, seed, loss=0.0, share=False))
+    fleet.told = lambda host, event: None
+    fleet.run(3000.0)
+    fleet.mark()
+    begun, at = time.process_time(), fleet.now
+    fleet.run(fleet.now + CALM_S * 1000)
+    spent, seconds = time.process_time() - begun, (fleet.now - at) / 1000
+    sent, messages = fleet.sent()
+    count = statistics.fmean(messages)
+    yield Figure("hollow.members.sent_bytes_s", statistics.fmean(sent) - HEADERS * count, "B/s", EDGE)
+    yield Figure("hollow.members.sent_datagrams_s", count, "1/s", EDGE)
+    yield Figure("hollow.members.cpu_ms_s", spent * 1000 / (n + SEATS) / seconds, "ms/s", EDGE)
+
+
 def zones_probe(n: int, seed: int) -> Iterator[Figure]:
     """Measure the same where each edge tells its evidence of three zones as well."""
     for figure in calm(n, seed, zones=True):
