Capacity: of what real processes send in calm the least run counts too

Need: runs in which a process held another unsure, for want of a core, sent 973 and 1,864 bytes a second where the calm ones sent 572 to 579; a mean over them is no calm.

--- a/cressrock/lab/capacity_page.py
+++ b/cressrock/lab/capacity_page.py
@@ -420,8 +420,8 @@
     """Return all, of processor times of one size the least: what else a machine does only adds to them."""
     found: list[Measurement] = []
     for row, measured in capacity.rows(measurements).items():
-        processor = row.startswith("turn.") or row.endswith((".cpu", *localcost_rows.PROCESSOR))
-        if not processor or row.startswith("agree."):
+        least_of = row.startswith("turn.") or row.endswith((".cpu", *localcost_rows.LEAST))
+        if not least_of or row.startswith("agree."):
             found += measured
             continue
         least: dict[tuple[int, int], Measurement] = {}
--- a/cressrock/lab/localcost_rows.py
+++ b/cressrock/lab/localcost_rows.py
@@ -20,8 +20,17 @@
 BOUND = "carried with a bound that must be raised"
 NOT = "not carried"
 VERDICTS = (CARRIED, BOUND, NOT)
-# Ends of rows that are processor time: a busy machine adds to them, so of a size's runs the least counts.
-PROCESSOR = ("cpu_ms", "cpu_us", "cpu_ms_s", "turn_ms")
+# Ends of rows of which the least of a size's runs counts: processor time, to which a busy machine only adds,
+# and what real processes send in calm, as some hold others unsure where they wait long for a core.
+LEAST = (
+    "cpu_ms",
+    "cpu_us",
+    "cpu_ms_s",
+    "turn_ms",
+    "real.members.sent_bytes_s",
+    "real.members.sent_datagrams_s",
+    "real.streams.bytes_s",
+)
 
 _NAMED = re.compile(r"\{([a-z0-9_.]+)(?:@([0-9]+)|(/n)|\*([0-9.]+))?\}")
 
@@ -234,8 +243,8 @@
         "With 61 edges and three planners an edge sends {real.members.sent_bytes_s@61} bytes a second in "
         "{real.members.sent_datagrams_s@61} datagrams (without their heads), streams carry "
         "{real.streams.bytes_s@61} for each process, and it takes {real.members.cpu_ms_s@61} ms of processor "
-        "time a second and {real.edge.rss_bytes@61} bytes of memory, {real.edge.pss_bytes@61} its own, nearly "
-        "all of it the program's. Hollow processes under the same names send "
+        "time a second and {real.edge.rss_bytes@61} bytes of memory ({real.edge.pss_bytes@61} its own), "
+        "nearly all the program's. Hollow processes under the same names send "
         "{hollow.members.sent_bytes_s@61} bytes in {hollow.members.sent_datagrams_s@61} datagrams and take "
         "{hollow.members.cpu_ms_s@61} ms: loop, sockets, list and link are not in them. A planner with a "
         "seat takes {real.planner.cpu_ms_s@61} ms a second.",
