--- a/cressrock/collect/collector.py
+++ b/cressrock/collect/collector.py
@@ -11,9 +11,9 @@
 entry, and forgets them once all are acknowledged; newest wins there as well.  So with any order, loss and
 repetition, once it is quiet one collector holds the newest of all words, and the other none.
 
-Ages are durations on one clock each, added up: `age_ms` of a word handed over counts from when it was first
-heard.  A collector that stood still does not know how long what it finds in its socket has lain there: it
-forgets all, takes nothing for `lapse_ms`, and asks its tellers for everything.
+Ages are durations on one clock each, added up: of a word's teller since it was put, and of each collector
+that held it.  A collector that stood still does not know how long what it finds in its socket has lain there:
+it forgets all, takes nothing for `lapse_ms`, and asks its tellers for everything.
 """
 
 from __future__ import annotations
@@ -50,7 +50,7 @@
     """What makes sums of a zone's words; one for all keys.  It holds what it is told, by origin."""
 
     def take(self, origin: Origin, key: str, value: bytes | None, at_ms: float) -> bool:
-        """Take an entry that was first heard at a time of this clock; returns whether it was news."""
+        """Take an entry that was put at a time of this clock; returns whether it was news."""
 
     def forget(self, origin: Origin) -> None:
         """Forget an origin."""
@@ -142,7 +142,7 @@
 class _Word:
     number: int
     value: bytes | None
-    at: float  # when it was first heard
+    at: float  # when it was put, as far as is known on this clock
     handed: int = -1  # number of what was handed over and acknowledged
 
 
@@ -185,8 +185,10 @@
     def roster(self, peers: Iterable[Peer], seats: Iterable[str], now_ms: float) -> None:
         """Take the members' view, and whom to tell summaries; to be called when either changes."""
         self._peers = {p.name: p for p in peers if p.there}
-        self._seats = tuple(sorted(n for n in seats if n in self._peers or n == self.me[0]))
         self._collectors = tuple(sorted((p.name, p.life) for p in self._peers.values() if p.collects))
+        # Other collectors too: what comes down to their tellers is of all zones.
+        hear = {*(c[0] for c in self._collectors), *(n for n in seats if n in self._peers)}
+        self._seats = tuple(sorted(hear - {self.me[0]}))
         self._tellers = {}
         for peer in self._peers.values():
             if peer.tells:
@@ -232,7 +234,7 @@
         elif isinstance(message, w.Words):
             all_known = True
             for held in message.words:
-                all_known &= self._take(held.name, held.life, held.entry, now_ms - held.age_ms)
+                all_known &= self._take(held.name, held.life, held.entry, now_ms)
             # Of a process that is not known here yet it comes again.
             return [Out(sender, w.Had(message.number))] if all_known else []
         elif isinstance(message, w.Had):
@@ -262,8 +264,9 @@
         held.heard = max(held.heard, now)
         return held
 
-    def _take(self, name: str, life: int, entry: w.Entry, at: float) -> bool:
+    def _take(self, name: str, life: int, entry: w.Entry, now: float) -> bool:
         """Keep a word if it is the newest; returns whether its origin is known."""
+        at = now - entry.age_ms
         known = self._peers.get(name)
         if known is None or known.life != life or not known.alive:
             self.counts["unknown"] += 1
@@ -398,7 +401,7 @@
         ]  # fmt: skip
         for summary in found:
             self.merged.take(now, self.me, summary)
-        return [Out(name, s) for name in self._seats if name != self.me[0] for s in found]
+        return [Out(name, s) for name in self._seats for s in found]
 
     def _hand(self, zone: str, now: float) -> list[Out]:
         """Hand words over to who collects their zone; forget them once all are acknowledged."""
@@ -425,8 +428,8 @@
                 left = True
                 if len(sends) >= HANDS:
                     break
-                entry = w.Entry(key, word.number, word.value)
-                one = w.Held(name, origin.life, entry, max(0.0, now - word.at))
+                entry = w.Entry(key, word.number, word.value, round(max(0.0, now - word.at)))
+                one = w.Held(name, origin.life, entry)
                 if held and w.size(one) > room:
                     close()
                 room -= w.size(one)
--- a/cressrock/collect/teller.py
+++ b/cressrock/collect/teller.py
@@ -65,6 +65,7 @@
 class _Own:
     number: int
     value: bytes | None
+    at: float  # when it was put
     told: bool = False  # the present collector has said that it has it
 
 
@@ -103,7 +104,7 @@
 
     # --- what is to be told
 
-    def put(self, key: str, value: bytes | None) -> None:
+    def put(self, key: str, value: bytes | None, now_ms: float) -> None:
         """Set an entry; None removes it.  Raises CollectTooLarge."""
         held = self._own.get(key)
         if held is not None and held.value == value or held is None and value is None:
@@ -114,7 +115,7 @@
         if held is None and len(self._own) >= w.MAX_ENTRIES:
             raise CollectTooLarge(f"{key!r}: more than {w.MAX_ENTRIES} entries")
         self._number += 1
-        self._own[key] = _Own(self._number, value)
+        self._own[key] = _Own(self._number, value, now_ms)
 
     def entries(self) -> dict[str, bytes]:
         """Return what stands."""
@@ -181,7 +182,7 @@
         for key, own in sorted(self._own.items()):
             if own.told:
                 continue
-            entry = w.Entry(key, own.number, own.value)
+            entry = w.Entry(key, own.number, own.value, round(max(0.0, now_ms - own.at)))
             if entries and w.size(entry) > room:
                 sends.append(self._tell(entries))
                 entries, room = [], ROOM - HEAD
--- a/cressrock/collect/words.py
+++ b/cressrock/collect/words.py
@@ -35,11 +35,16 @@
 
 
 class Entry(Struct, frozen=True, array_like=True):
-    """One word: `number` grows with each change within the teller's life; None: the key was removed."""
+    """One word: `number` grows with each change within the teller's life; None: the key was removed.
+
+    `age_ms`: how long ago it was put, by its teller's clock, and then by those of collectors that handed it
+    over.  Without it, what is told anew to a new collector would look as if it were said just now.
+    """
 
     key: Key
     number: Count
     value: Value | None
+    age_ms: Ms = 0.0
 
 
 class Message(Struct, frozen=True, array_like=True, tag_field="t"):
@@ -71,12 +76,11 @@
 
 
 class Held(Struct, frozen=True, array_like=True):
-    """One origin's word as a collector holds it; `age_ms` since it was first heard."""
+    """One origin's word as a collector holds it."""
 
     name: Name
     life: Count
     entry: Entry
-    age_ms: Ms
 
 
 class Words(Message, frozen=True, tag=3):
--- a/cressrock/fleet/messages.py
+++ b/cressrock/fleet/messages.py
@@ -140,7 +140,13 @@
     whole: bool = False  # the spread's state is wanted and sent as well
 
 
-Any = Ping | Ack | Ask | Nack | Rumours | Hello | Welcome | Who | Digest | Delta | Piece
+class Collect(Body, frozen=True, tag=12):
+    """Opaque bytes of the collectors (`cressrock/collect`); who does not know it drops it as malformed."""
+
+    data: Payload
+
+
+Any = Ping | Ack | Ask | Nack | Rumours | Hello | Welcome | Who | Digest | Delta | Piece | Collect
 
 
 class _Envelope(Struct, frozen=True, array_like=True):
--- a/cressrock/lab/zonesim.py
+++ b/cressrock/lab/zonesim.py
@@ -12,7 +12,7 @@
 import random
 from bisect import bisect
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from itertools import accumulate, pairwise
 from typing import Any, Protocol
@@ -108,9 +108,9 @@
 class AtOnce:
     """For comparison: each for itself; a zone that failed three times in a row is left for a second."""
 
-    def __init__(self, here: str, source: random.Random) -> None:
+    def __init__(self, here: str, source: random.Random, places: Mapping[str, str] = PLACES) -> None:
         """Stand in a zone."""
-        self.here, self.source = here, source
+        self.here, self.source, self.places = here, source, places
         self.failed: dict[str, int] = {}
         self.until: dict[str, float] = {}
 
@@ -118,7 +118,7 @@
         self, zones: Sequence[str], units: float, reserved: bool, now_ms: float, home: str = ""
     ) -> Go | Stay:
         """Go to the nearest zone that is not left, whatever it bears."""
-        near = sorted(zones, key=lambda z: (z != home, PLACES[z] != PLACES[self.here], z))
+        near = sorted(zones, key=lambda z: (z != home, self.places[z] != self.places[self.here], z))
         for zone in near:
             if now_ms >= self.until.get(zone, 0.0):
                 return Go(zone, int(zone != home))
@@ -169,19 +169,20 @@
 
     def __init__(
         self, seed: int, *, edges: int = 230, capacity: float = 600.0, load: float = 0.6,
-        policy: str = "decided", hold_ms: float = HOLD_MS,
+        policy: str = "decided", hold_ms: float = HOLD_MS, places: Mapping[str, str] = PLACES,
     ) -> None:  # fmt: skip
-        """`load` is of all zones' capacity; `policy`: decided, none, at once."""
+        """`load` is of all zones' capacity; `policy`: decided, none, at once; `places`: zone -> region."""
+        self.places, self._places = dict(places), sorted(places)
         self.random = random.Random(f"{seed} zones")
         self.policy, self.hold_ms = policy, hold_ms
         self.settings = Zones(
-            zones={name: Zone(region=region, capacity=capacity) for name, region in PLACES.items()},
+            zones={name: Zone(region=region, capacity=capacity) for name, region in places.items()},
             edges=edges,
         )
         self.now = 0.0
-        self.sites = {name: Site(capacity) for name in PLACES}
+        self.sites = {name: Site(capacity) for name in places}
         self.edges = [self._edge(number) for number in range(edges)]
-        self.rate = load * capacity * len(PLACES)  # reads a second
+        self.rate = load * capacity * len(places)  # reads a second
         self.all = All(self.settings)
         self.memory = Memory()
         self.leader = True
@@ -202,15 +203,15 @@
         self._weigh()
 
     def _edge(self, number: int) -> Edge:
-        place = sorted(PLACES)[number % len(PLACES)]
+        place = self._places[number % len(self._places)]
         source = random.Random(self.random.getrandbits(60))
         choice: Any
         if self.policy == "decided":
-            choice = Choice(place, PLACES, self.settings, self.random.uniform(-500, 0), source)
+            choice = Choice(place, self.places, self.settings, self.random.uniform(-500, 0), source)
         elif self.policy == "none":
             choice = NoSpill(place)
         else:
-            choice = AtOnce(place, source)
+            choice = AtOnce(place, source, self.places)
         return Edge((f"e{number:03d}", 1), place, choice, self.random.uniform(1 / 1.6, 1.6))
 
     # --- what a scene does
@@ -292,7 +293,7 @@
         self.asked[int(self.now // 1000)] += 1
         # Some volumes have copies in one region only; for edges elsewhere its first zone is their nearest.
         far = self.random.random() < FAR
-        zones = FAR_ZONES if far else sorted(PLACES)
+        zones = FAR_ZONES if far else self._places
         home = FAR_ZONES[0] if far and edge.place not in FAR_ZONES else edge.place
         self._ask(edge, zones, home, self.now, self.random.random() < 0.1, self.random.random(), False)
 
@@ -340,9 +341,7 @@
         self.after(self.settings.beat_ms / 2, self._tell, edge)
         if not edge.alive:
             return
-        if edge.heard is not None and not edge.expired and self.now >= edge.heard_at + self.hold_ms:
-            edge.expired = True
-            edge.choice.decreed(terms.TOPIC, Expired(edge.heard, self.now), self.now)
+        self._lapse(edge)
         if not edge.cut and self.now >= self._sums_at:
             self._sums_at, self._loads = self.now + 1000, self.all.loads(self.now)
             self._accused = self.all.accused(self.now)
@@ -353,6 +352,11 @@
             if not edge.cut:
                 self.after(self._delay(), self._heard, edge.origin, change.key, change.value)
 
+    def _lapse(self, edge: Edge) -> None:
+        if edge.heard is not None and not edge.expired and self.now >= edge.heard_at + self.hold_ms:
+            edge.expired = True
+            edge.choice.decreed(terms.TOPIC, Expired(edge.heard, self.now), self.now)
+
     def _heard(self, origin: Origin, key: str, value: bytes | None) -> None:
         self.all.take(origin, key, value, self.now)
 
@@ -363,14 +367,15 @@
         members = [Who(e.origin, e.place, e.seen, True) for e in self.edges]
         self.all.keep({e.origin for e in self.edges if e.seen})
         standing = terms.decode(self.standing.value) if self.standing is not None else None
-        wanted = judge(
-            self.settings, members, self.all.words(self.now), self.all.beats(), standing, self.now,
-            self.memory,
-        )  # fmt: skip
+        wanted = self._judge(members, standing)
         if wanted is not None:
             decided(self.memory, self.now)
             self.after(self.random.uniform(5, 50), self._decree, wanted, standing or Verdict())
 
+    def _judge(self, members: list[Who], standing: Verdict | None) -> Verdict | None:
+        words, beats = self.all.words(self.now), self.all.beats()
+        return judge(self.settings, members, words, beats, standing, self.now, self.memory)
+
     def _decree(self, verdict: Verdict, before: Verdict) -> None:
         if not self.leader:
             return
@@ -501,6 +506,17 @@
             ((10 * s, _do("lose", "a1")), (20 * s, _do("lead", False)), (45 * s, _do("back", "a1"))), 100 *
             s, 1, (15 * s, 45 * s),
         ),
+        Scene(
+            "a day",
+            ((10 * s, _do("lose", "a1")), (30 * s, _do("back", "a1")),
+             (65 * s, _set("a2", dead=0.5)), (85 * s, _set("a2", dead=0.0)),
+             (110 * s, _set("b1", lag_ms=1500.0)), (130 * s, _set("b1", lag_ms=5.0)),
+             (165 * s, _do("cut", "a1", "b1")), (185 * s, _do("cut", "a1", "b1", False)),
+             (200 * s, _sick(1.0)), (215 * s, _sick(0.0)),
+             (230 * s, _do("lose", "b1")), (230.2 * s, _do("lead", False)), (232.2 * s, _do("lead", True)),
+             (250 * s, _do("back", "b1"))),
+            300 * s, 2, (15 * s, 300 * s),
+        ),
         Scene(
             "its edges cut from the council",
             ((9 * s, _unlinked(True)), (10 * s, _do("lose", "a1")), (30 * s, _unlinked(False)),
--- a/cressrock/zones/sums.py
+++ b/cressrock/zones/sums.py
@@ -238,7 +238,7 @@
         self.refused = 0
 
     def take(self, origin: Origin, key: str, value: bytes | None, at_ms: float) -> bool:
-        """Take an entry that was first heard at a time of this clock; of others' keys nothing."""
+        """Take an entry that was put at a time of this clock; of others' keys nothing."""
         return key.startswith(PREFIX) and self.all.take(origin, key, value, at_ms)
 
     def forget(self, origin: Origin) -> None:
--- a/tests/test_collect.py
+++ b/tests/test_collect.py
@@ -235,28 +235,28 @@
 
 def test_a_word_is_told_once_and_renewed_seldom_and_its_bytes_are_flat():
     line = Line()
-    line.teller.put("k", b"x" * 200)
+    line.teller.put("k", b"x" * 200, line.now)
     line.go(60000)
     assert len(line.sent) <= 1 + 60000 / (0.75 * TIMES.renew_ms) + 1
     assert sum(size for _, _, size, _ in line.sent) / 60 < 60
     assert line.teller.answered()
     line.sent.clear()
-    line.teller.put("k", b"y")
+    line.teller.put("k", b"y", line.now)
     line.go(50)
     assert len(line.sent) == 1, "a changed word is told at once"
-    line.teller.put("k", None)
+    line.teller.put("k", None, line.now)
     line.go(50)
     assert line.has[line.sent[0][1]] == {"k": None} and line.teller.entries() == {}
 
 
 def test_a_teller_moves_on_from_a_silent_collector_and_comes_back_to_it():
     line = Line()
-    line.teller.put("k", b"x")
+    line.teller.put("k", b"x", line.now)
     line.go(1000)
     first, second, _ = [name for name, _ in te.ranked("a", line.collectors)]
     assert line.teller.to == (first, 1)
     line.dead = {first}
-    line.teller.put("k", b"y")
+    line.teller.put("k", b"y", line.now)
     begun = line.now
     while line.has.get(second) != {"k": b"y"}:
         line.go(10)
@@ -280,7 +280,7 @@
     times = []
     for seed in range(200):
         line = Line(seed)
-        line.teller.put("k", b"x")
+        line.teller.put("k", b"x", line.now)
         line.go(800)
         line.sent.clear()
         line.roster([c for c in line.collectors if c != line.teller.to])
@@ -290,7 +290,7 @@
     assert max(times) > 400 and worst < 50, "spread by a draw"
     line = Line()
     line.dead = {name for name, _ in line.collectors}
-    line.teller.put("k", b"x")
+    line.teller.put("k", b"x", line.now)
     line.go(120000)
     assert len(line.sent) < 120, "backing off"
 
@@ -309,13 +309,13 @@
 def test_what_is_too_large_is_refused_and_what_is_much_comes_in_datagrams():
     line = Line()
     with pytest.raises(CollectTooLarge):
-        line.teller.put("k", b"x" * 641)
+        line.teller.put("k", b"x" * 641, line.now)
     with pytest.raises(CollectTooLarge):
-        line.teller.put("k" * 65, b"")
+        line.teller.put("k" * 65, b"", line.now)
     for n in range(w.MAX_ENTRIES):
-        line.teller.put(f"k{n}", b"x" * 600)
+        line.teller.put(f"k{n}", b"x" * 600, line.now)
     with pytest.raises(CollectTooLarge):
-        line.teller.put("more", b"")
+        line.teller.put("more", b"", line.now)
     line.go(2000)
     assert len(line.has[line.teller.to[0]]) == w.MAX_ENTRIES
     assert max(size for _, _, size, _ in line.sent) <= 1100
@@ -360,11 +360,13 @@
 
 
 def test_golden_bytes_and_what_is_newer():
-    tell = w.Tell(7, [w.Entry("zones/0", 3, b"v"), w.Entry("zones/1", 4, None)])
-    assert w.encode(tell).hex() == "01930107" + "92" + "93a77a6f6e65732f3003c40176" + "93a77a6f6e65732f3104c0"
+    tell = w.Tell(7, [w.Entry("zones/0", 3, b"v", 0), w.Entry("zones/1", 4, None, 0)])
+    assert w.encode(tell).hex() == (
+        "01930107" + "92" + "94a77a6f6e65732f3003c4017600" + "94a77a6f6e65732f3104c000"
+    )
     for message in (
         tell, w.Got([7], 9, True, 1.5, 500.0, False, b"d"), w.Had(3),
-        w.Words(3, "a", [w.Held("e1", 5, w.Entry("k", 1, b""), 12.5)]),
+        w.Words(3, "a", [w.Held("e1", 5, w.Entry("k", 1, b"", 12.0))]),
         w.Summary("a", 1, 2, 1, 3, 4.5, ["e9"], {"zones/a": b"r"}, 0, 2),
     ):  # fmt: skip
         assert w.decode(w.encode(message)) == message
@@ -468,3 +470,24 @@
     parts = {"a1": {"zones/a1": b"\x09", "zones/nowhere": b"", "other": b"x", "zones/a2": b"\x01\xc1"}}
     view = Summed(OF, [], parts, {})
     assert view.tally("a1", None).total() == (0, 0) and view.load("a2") == 0.0
+
+
+def test_what_is_told_anew_to_another_collector_is_as_old_as_it_is():
+    line = Line()
+    line.teller.put("k", b"x", line.now)
+    line.go(8000)
+    line.sent.clear()
+    line.roster([c for c in line.collectors if c != line.teller.to])
+    line.go(1000)
+    told = [message.entries[0].age_ms for _, _, _, message in line.sent]
+    assert told and min(told) >= 8000
+    net = Two(random.Random(2), 1)
+    one = net.seats["p0"]
+    heard = []
+    one.fold.take = lambda origin, key, value, at_ms: heard.append(at_ms)
+    one.receive(900.0, "e0", 1, w.Tell(1, [w.Entry("k", 1, b"x", 400.0)]))
+    assert heard == [500.0]
+    # Handed over it grows older still.
+    one._owner["a"] = ("p1", 1)
+    words = [out.message for out in one.tick(950.0) if isinstance(out.message, w.Words)]
+    assert words[0].words[0].entry.age_ms == 450.0
