Evidence of zones by collectors on the fleet's wire, where there are many edges

Change: collect/carrier.py (Evidence) takes what rooms tell and carries it to the zone's collector as a new kind of the fleet's datagrams, or by the spread as before; planners that hold a seat and read evidence announce that they collect. The leading seat judges by sums as soon as anybody tells collectors. Of many that tell by the spread none tells more often than the spread carries. fleet.collect_from for drills.

--- a/cressrock/collect/collector.py
+++ b/cressrock/collect/collector.py
@@ -65,6 +65,39 @@
         """
 
 
+class Folds:
+    """Several rooms' folds as one: each is told of all entries, and takes those of its own keys."""
+
+    def __init__(self) -> None:
+        """Begin with none."""
+        self.folds: dict[str, Fold] = {}
+
+    def add(self, name: str, fold: Fold) -> None:
+        """Add one under a name, by which what it sends down is found (`words.decode_down`)."""
+        self.folds[name] = fold
+
+    def take(self, origin: Origin, key: str, value: bytes | None, at_ms: float) -> bool:
+        """Take an entry that was put at a time of this clock."""
+        return any([fold.take(origin, key, value, at_ms) for fold in self.folds.values()])
+
+    def forget(self, origin: Origin) -> None:
+        """Forget an origin."""
+        for fold in self.folds.values():
+            fold.forget(origin)
+
+    def parts(self, zone: str, origins: Collection[Origin], now_ms: float) -> dict[str, bytes]:
+        """Return all sums over these origins."""
+        found: dict[str, bytes] = {}
+        for fold in self.folds.values():
+            found |= fold.parts(zone, origins, now_ms)
+        return found
+
+    def down(self, parts: Mapping[str, Mapping[str, bytes]], now_ms: float) -> tuple[bool, bytes]:
+        """Return whether any of them wants evidence, and what all of them send down."""
+        found = {name: fold.down(parts, now_ms) for name, fold in sorted(self.folds.items())}
+        return any(stir for stir, _ in found.values()), w.encode_down({n: d for n, (_, d) in found.items()})
+
+
 @dataclass(frozen=True, slots=True)
 class Taken:
     """A zone's sums as they were heard last, and when, on this clock."""
@@ -118,6 +151,10 @@
             for key in [k for k in table if k[1] not in collectors]:
                 del table[key]
 
+    def others(self, me: Collector) -> bool:
+        """Whether another collector's summary is held."""
+        return any(by != me for _, by in self._taken)
+
     def parts(self, now_ms: float) -> dict[str, Mapping[str, bytes]]:
         """Return the sums that count now, by zone and key."""
         return {zone: taken.summary.parts for zone, taken in self.chosen(now_ms).items()}
@@ -154,6 +191,10 @@
     words: dict[str, _Word] = field(default_factory=dict)
     here: bool = False  # it tells here by itself; else another collector handed it over
 
+    def tells(self) -> bool:
+        """Whether it tells collectors, and not by the spread."""
+        return any(word.number and word.value is not None for word in self.words.values())
+
 
 class Collect:
     """One collector."""
@@ -177,6 +218,7 @@
         self._ticked = now_ms
         self._deaf_until = now_ms
         self._whole = False  # tellers are to be asked for everything
+        self._active = False
         self._stir, self._down = False, b""
         self._pushed: dict[str, float] = {}  # to whom, and when, since the stir began
 
@@ -216,6 +258,10 @@
         """Return the zones of which words are held."""
         return sorted(zone for zone, names in self._by_zone.items() if names)
 
+    def active(self) -> bool:
+        """Whether anybody tells collectors, here or elsewhere: then sums are the whole evidence."""
+        return self._active
+
     def held(self) -> int:
         """Return how many origins' words are held."""
         return len(self._origins)
@@ -289,7 +335,7 @@
         if known is None or known.life != life or not known.alive:
             return
         held = self._origins.get(name)
-        if held is not None and held.life == life and any(word.number for word in held.words.values()):
+        if held is not None and held.life == life and held.tells():
             return  # it tells collectors itself; what is left in the spread may be old
         held = self._hear(known, now_ms)
         word = held.words.get(key)
@@ -312,7 +358,7 @@
         for name in list(self._origins):
             self._forget(name)
         self._handing.clear()
-        self._deaf_until, self._whole = now + self.times.lapse_ms, True
+        self._deaf_until, self._whole = now + self.times.lapse_ms, self._active or self._whole
         self.counts["woke"] += 1
         return True
 
@@ -322,8 +368,15 @@
             return []
         self._next = max(now_ms, self._next + self.times.tell_ms)
         sends: list[Out] = []
+        told = {zone for zone in self.zones() if self._tells(zone, now_ms)}
+        self._active = bool(told) or self.merged.others(self.me)
+        if not self._active:
+            # Everybody tells by the spread, as before; or what was told here was forgotten just now.
+            return self._pushes(now_ms) if self._whole else []
         for zone in self.zones():
-            sends += self._summaries(zone, now_ms)
+            # What came by the spread all seats have; of a zone that tells nobody no summary is needed.
+            found = self._summaries(zone, now_ms)
+            sends += found if zone in told else []
         stir, down = self.fold.down(self.merged.parts(now_ms), now_ms)
         if stir != self._stir or down != self._down:
             self._number += 1
@@ -337,6 +390,12 @@
                 sends += self._hand(zone, now_ms)
         return sends
 
+    def _tells(self, zone: str, now: float) -> bool:
+        """Whether anybody of a zone tells collectors, be it that there is nothing to tell."""
+        late = 2 * self.times.renew_ms
+        held = [self._origins[name] for name in self._by_zone[zone]]
+        return any(o.here and now - o.heard <= late or o.tells() for o in held)
+
     def _mine(self) -> list[str]:
         """Return who tells here, or should: tellers of the zones that are collected here."""
         names = {n for n, o in self._origins.items() if o.here}
--- a/cressrock/collect/teller.py
+++ b/cressrock/collect/teller.py
@@ -121,6 +121,10 @@
         """Return what stands."""
         return {key: own.value for key, own in self._own.items() if own.value is not None}
 
+    def idle(self) -> bool:
+        """Whether nothing stands, and nobody has to be told so."""
+        return not self._own
+
     # --- whom
 
     def roster(self, collectors: Iterable[Collector], now_ms: float) -> None:
@@ -262,6 +266,7 @@
 BUDGET_BYTES_S = 2000.0  # of control for each process, in all
 SWIM_BYTES_S = 600.0  # of it for the members (benchmarks/results/members.md)
 WORD_BYTES = 130.0  # an entry of evidence with its key and head in the spread
+FIRST_MS = 1000.0  # a first change comes after so long
 COPIES = 2.0  # a rumour reaches each process about so often
 
 
@@ -289,6 +294,7 @@
     collecting: bool = False
     why: str = "few tellers"
     _since: float | None = None  # since when the other way is wanted
+    _changes: int = 0
 
     def look(self, now_ms: float, tellers: int, collectors: int, dumb_seats: Sequence[str]) -> bool:
         """Return whether to collect.  `dumb_seats`: live seats that do not announce it, for the status."""
@@ -306,11 +312,19 @@
             return self.collecting
         if self._since is None:
             self._since = now_ms
-        if now_ms - self._since >= self.hold_ms:
+        # A process that joins a large fleet does not first tell it by the spread for a while.
+        hold = self.hold_ms if self._changes else min(self.hold_ms, FIRST_MS)
+        if now_ms - self._since >= hold:
             self.collecting, self.why, self._since = wanted, why, None
+            self._changes += 1
         return self.collecting
 
 
 def spread_pace_ms(tellers: int, carried_s: float, usual_ms: float) -> float:
-    """Return how often one of so many may tell by the spread, so that all stay within what it carries."""
-    return max(usual_ms, 1000.0 * tellers / carried_s)
+    """Return the least time between two tellings of one process by the spread, of so many.
+
+    0 while all of them tell every `usual_ms` and stay within `carried_s` a second, which the spread carries;
+    beyond, as much as keeps them within it, however often evidence changes.
+    """
+    least = 1000.0 * tellers / carried_s
+    return least if least > usual_ms else 0.0
--- a/cressrock/collect/words.py
+++ b/cressrock/collect/words.py
@@ -141,6 +141,24 @@
         raise CollectMalformed(f"a collectors' message that cannot be read: {str(wrong)[:200]}") from None
 
 
+_down = msgspec.msgpack.Decoder(dict[Key, bytes])
+
+
+def encode_down(rooms: dict[str, bytes]) -> bytes:
+    """Return what comes down, of each room by its name."""
+    return _encode(rooms)
+
+
+def decode_down(data: bytes) -> dict[str, bytes]:
+    """Read what comes down.  Raises CollectMalformed."""
+    if not data:
+        return {}
+    try:
+        return _down.decode(data)
+    except (msgspec.DecodeError, RecursionError, UnicodeDecodeError) as wrong:
+        raise CollectMalformed(f"what came down cannot be read: {str(wrong)[:200]}") from None
+
+
 def size(value: Entry | Held) -> int:
     """Return an element's bytes on the wire."""
     return len(_encode(value))
--- a/cressrock/fleet/carrier.py
+++ b/cressrock/fleet/carrier.py
@@ -84,6 +84,7 @@
         self.rounds = rounds.Rounds(self.members, spread, settings.rounds, source, now)
         self.listeners: list[Callable[[Event], None]] = []
         self.changed = anyio.Event()  # set, and replaced, at each change of the members
+        self.collected: Callable[[str, int, bytes], None] = lambda sender, life, data: None
         self.dropped: dict[str, int] = {}  # datagrams and frames not taken, by reason
         self._news = anyio.Event()
         self._sleeps_until = FOREVER
@@ -156,6 +157,8 @@
             self.members.receive(now, address, letter)
             if isinstance(letter.body, m.Digest | m.Delta):
                 self._send(self.rounds.receive(now, letter))
+            elif isinstance(letter.body, m.Collect):
+                self.collected(letter.sender, letter.life, letter.body.data)
             self._flush()
 
     def _flush(self) -> None:
@@ -172,6 +175,12 @@
         if self._wanted or self._fenced is not None or self.members.next_due() < self._sleeps_until:
             self._news.set()
 
+    def tell(self, name: str, data: bytes) -> None:
+        """Send a member bytes of the collectors in one datagram; who is not known is not told."""
+        address = self.members.address(name)
+        if address is not None and self._fenced is None:
+            self._send([ToSend(name, address, m.Collect(data))])
+
     def _send(self, sends: list[ToSend]) -> None:
         me = self.members.me
         for sent in sends:
--- a/cressrock/ground.py
+++ b/cressrock/ground.py
@@ -15,6 +15,8 @@
 from anyio.abc import TaskGroup, TaskStatus
 
 from cressrock import net
+from cressrock.collect import words
+from cressrock.collect.carrier import Evidence
 from cressrock.council import decrees as d
 from cressrock.council.carrier import Council, CouncilSeat, Kept, SeatSettings, in_line, off_loop
 from cressrock.council.line import World as CouncilWorld
@@ -130,13 +132,23 @@
         source: random.Random,
         log: Any,
         in_thread: bool = True,
+        collects: bool = False,
     ) -> None:
         """`clock` gives monotonic ms.  `in_thread`: a seat's writes leave the loop free (not in simulated
-        time).  Raises StoreNewer for a newer program's `seen_file`.
+        time).  `collects`: it reads evidence, so where it holds a seat it is a collector.  Raises
+        StoreNewer for a newer program's `seen_file`.
         """
         self.place, self.sockets, self.clock, self.wall_ms = place, sockets, clock, wall_ms
         self.source, self.log, self.in_thread = source, log, in_thread
         self.spread = Spread(place.name, place.life, SpreadSettings(), source)
+        part = place.council
+        self.collects = collects and part is not None and part.store is not None
+        self.evidence = Evidence(
+            (place.name, place.life), place.fleet.zone, self.spread, clock=clock,
+            source=random.Random(f"{place.name}/{place.life}/evidence"), log=log,
+            seats=part.seats if part is not None else (), collects=self.collects,
+            most=place.fleet.collect_from,
+        )  # fmt: skip
         self.fleet: Fleet | None = None
         self.seat: CouncilSeat | None = None
         self.council: Council | None = None
@@ -162,8 +174,9 @@
             bound, datagrams, close = await self.sockets.listen_both(part.listen, self._serve, tasks)
             self.addresses["fleet"] = bound
             identity = Identity(
-                place.name, place.life, part.advertise or bound, place.role, part.zone, part.region
-            )
+                place.name, place.life, part.advertise or bound, place.role, part.zone, part.region,
+                words.CAPABLE if self.collects else b"",
+            )  # fmt: skip
             settings = FleetSettings(
                 seeds=tuple(part.seeds),
                 routes=part.routes,
@@ -176,10 +189,14 @@
             world = FleetWorld(datagrams, self.sockets.connect, self.clock)
             state = _Telling(self.spread, self._merged)
             fleet = self.fleet = Fleet(settings, identity, world, state, self.source, self.log)
+            evidence = self.evidence
+            evidence.send, evidence.members, fleet.collected = fleet.tell, self.members, evidence.receive
+            fleet.listeners.append(lambda _event: evidence.changed())
             try:
                 if place.council is not None:
                     await self._sit(place.council, tasks)
                 tasks.start_soon(fleet.run)
+                tasks.start_soon(evidence.run)
                 task_status.started()
                 await self._asking()
             finally:
@@ -328,6 +345,7 @@
             ],
             "dropped": dict(self.fleet.dropped) if self.fleet is not None else {},
             "spread_bytes": self.spread.size(),
+            "evidence": self.evidence.status(),
             "decrees": decrees,
             "seat": self.seat.status() if self.seat is not None else None,
             "unkept": self.kept.unkept,
--- a/cressrock/settings/types.py
+++ b/cressrock/settings/types.py
@@ -189,6 +189,7 @@
     life_file: str | None = None  # keeps the number of this life over restarts, beside the wall clock
     period_ms: Annotated[float, Meta(ge=20, le=60000)] = 1000.0  # of the protocol
     ride_out_ms: Positive = 2000.0  # a process that stands still for so long is not declared gone
+    collect_from: Annotated[int, Meta(ge=0, le=1 << 20)] = 0  # more edges tell collectors; 0: derived
 
 
 class CouncilSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
--- a/cressrock/zones/carrier.py
+++ b/cressrock/zones/carrier.py
@@ -6,18 +6,19 @@
 from __future__ import annotations
 
 from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from typing import Any, Protocol, cast
 
 import anyio
 import msgspec
 
+from cressrock.collect.carrier import Evidence
 from cressrock.council.decrees import Decree, Expired
 from cressrock.dispatch.driver import Driver
 from cressrock.dispatch.ledger import Attempt
 from cressrock.dispatch.transport import Call, Ending, Flight, Transport
 from cressrock.errors import CressrockError
 from cressrock.errors.council import Conflict, NoQuorum
-from cressrock.errors.zones import MoveRefused
+from cressrock.errors.zones import MoveRefused, ZonesError
 from cressrock.fleet.members import Member
 from cressrock.fleet.messages import State as Life
 from cressrock.http.channel import Headers
@@ -26,11 +27,12 @@
 from cressrock.zones import terms
 from cressrock.zones.evidence import MAX_PIECES, PREFIX, All, Origin
 from cressrock.zones.spill import Choice
-from cressrock.zones.sums import Who
+from cressrock.zones.sums import Summed, Sums, Who, read_loads
 from cressrock.zones.terms import Zones
-from cressrock.zones.verdict import Memory, decided, judge
+from cressrock.zones.verdict import Memory, decided, judge, weigh
 
 MAX_ASKED = 4096  # bytes of a question to the admin port
+ROOM = "zones"  # the name under which sums go down
 
 
 class Spread(Protocol):
@@ -86,6 +88,10 @@
     def leading(self) -> bool:
         """Whether this process's seat leads, as far as it knows."""
 
+    @property
+    def evidence(self) -> Evidence:
+        """The way that evidence takes."""
+
     def members(self) -> tuple[Member, ...]:
         """Return this process's view."""
 
@@ -158,6 +164,7 @@
             found = self.ground.spread.get(one)
             for who in [origin] if key else list(found):
                 self.all.take(who, one, found.get(who), now)
+                self.ground.evidence.heard(who, one, found.get(who))
 
     def alive(self) -> list[Who]:
         """Return the members, and forget the words of those who are not surely alive."""
@@ -183,7 +190,7 @@
         """`zone_of` names a listed node's zone; `clock` gives monotonic ms."""
         self.choice, self.ground, self.clock, self.zone_of, self.log = choice, ground, clock, zone_of, log
         self.heard = _Evidence(choice.settings, ground, clock)
-        self.untold = 0  # changes that the spread did not take
+        self.unread = 0  # what came down and could not be read
 
     def watch(self, driver: Driver) -> None:
         """Count the attempts of a driver from now on."""
@@ -200,23 +207,29 @@
             for topic in (terms.TOPIC, terms.MOVE_TOPIC):
                 self.choice.decreed(topic, self.ground.kept.get(topic), now)
             self.heard.alive()
-            self.choice.loads(self.heard.all.loads(now))
-            stir = self.choice.stirred() or self.heard.all.accused(now)
-            for change in self.choice.own.tell(now, stir):
-                try:
-                    if change.value is None:
-                        self.ground.spread.remove(change.key)
-                    else:
-                        self.ground.spread.put(change.key, change.value)
-                except CressrockError as wrong:
-                    self.untold += 1
-                    if self.untold == 1:
-                        self.log.warning("evidence not told", **wrong.fields())
+            self.choice.loads(self._loads(now))
+            evidence = self.ground.evidence
+            stir = self.choice.stirred() or evidence.stirred() or self.heard.all.accused(now)
+            of = self.choice.settings
+            least = evidence.least_ms(of.tells, of.calm_ms)
+            for change in self.choice.own.tell(now, stir, evidence.pace_ms(), least):
+                evidence.put(change.key, change.value)
             await anyio.sleep(self.choice.settings.beat_ms / 2000)
 
+    def _loads(self, now: float) -> dict[str, float]:
+        """Return the zones' own work: as it came down from a collector, else as all told it here."""
+        down = self.ground.evidence.down(ROOM)
+        if down:
+            try:
+                return read_loads(down)
+            except ZonesError:
+                self.unread += 1
+        return self.heard.all.loads(now)
+
     def status(self) -> dict[str, Any]:
         """Return plain values for an admin port."""
-        return {**self.choice.status(), **self.heard.all.status(self.clock()), "untold": self.untold}
+        untold = self.ground.evidence.untold
+        return {**self.choice.status(), **self.heard.all.status(self.clock()), "untold": untold}
 
 
 class LeaderZones:
@@ -228,14 +241,19 @@
         """`hold_ms`: how long a verdict counts without renewal."""
         self.settings, self.ground, self.hold_ms, self.clock, self.log = settings, ground, hold_ms, clock, log
         self.heard = _Evidence(settings, ground, clock)
+        self.sums = Sums(settings)
+        ground.evidence.folds.add(ROOM, self.sums)
         self.memory = Memory()
+        self.summed = False  # whether the last look was at collectors' sums
         self.decided = 0
         self.problems: dict[str, int] = {}  # by error code
+        self._number, self._standing = -1, cast("terms.Verdict | None", None)
 
     async def run(self) -> None:
         """Serve until cancelled."""
         while True:
             await anyio.sleep(self.settings.look_ms / 1000)
+            self._stands()
             self.heard.alive()
             council = self.ground.council
             if council is None or not self.ground.leading:
@@ -251,16 +269,44 @@
     async def _lead(self, council: Deciding) -> None:
         while self.ground.leading:
             members = self.heard.alive()
-            found = self.ground.kept.get(terms.TOPIC)
-            decree = found.decree if isinstance(found, Expired) else found
+            decree = self._stands()
             now = self.clock()
             standing = terms.decode(decree.value) if decree is not None else None
-            words, beats = self.heard.all.words(now), self.heard.all.beats()
-            wanted = judge(self.settings, members, words, beats, standing, now, self.memory)
+            wanted = self._look(members, standing, now)
             if wanted is not None:
                 await self._decide(council, wanted, decree.number if decree is not None else 0, now)
             await anyio.sleep(self.settings.look_ms / 1000)
 
+    def _stands(self) -> Decree | None:
+        """Return the decree that stands, counting or not, and let the sums know of it."""
+        found = self.ground.kept.get(terms.TOPIC)
+        decree = found.decree if isinstance(found, Expired) else found
+        if decree is None or decree.number != self._number:
+            self._number = decree.number if decree is not None else -1
+            try:
+                self._standing = terms.decode(decree.value) if decree is not None else None
+            except ZonesError:
+                self._standing = None  # a newer program's: it is said where it is to be followed
+        self.sums.stands(self._standing, self.clock())
+        return decree
+
+    def _look(self, members: list[Who], standing: terms.Verdict | None, now: float) -> terms.Verdict | None:
+        """Judge by collectors' sums where anybody tells collectors; else by all words, as before."""
+        collect = self.ground.evidence.collect
+        summed = collect is not None and collect.active()
+        if summed != self.summed:
+            # Danger: marks of one way say nothing of the other's beats; a new memory is late, never early.
+            self.summed, self.memory = summed, Memory()
+        beats = self.heard.all.beats()
+        if collect is None or not summed:
+            return judge(
+                self.settings, members, self.heard.all.words(now), beats, standing, now, self.memory
+            )
+        chosen = collect.merged.chosen(now)
+        parts = {zone: taken.summary.parts for zone, taken in chosen.items()}
+        view = Summed(self.settings, members, parts, {z: t.summary.tellers for z, t in chosen.items()})
+        return weigh(self.settings, members, view, beats, standing, now, self.memory)
+
     async def _decide(self, council: Deciding, wanted: terms.Verdict, number: int, now: float) -> None:
         decided(self.memory, now)
         try:
@@ -291,6 +337,7 @@
         }  # fmt: skip
         return {
             "leads": self.ground.leading,
+            "summed": self.summed,
             "decided": self.decided,
             "problems": dict(self.problems),
             "tallies": tallies,
--- a/cressrock/zones/evidence.py
+++ b/cressrock/zones/evidence.py
@@ -301,12 +301,14 @@
             )  # fmt: skip
         return found
 
-    def tell(self, now_ms: float, stir: bool, pace_ms: float | None = None) -> list[Change]:
+    def tell(
+        self, now_ms: float, stir: bool, pace_ms: float | None = None, least_ms: float = 0.0
+    ) -> list[Change]:
         """Return what is told now; mostly nothing.
 
         A changed word is told at once (once a beat at most); the rest every `calm_ms`, or while something is
         wrong (`stir`: by decree; or here) so often that all edges together stay within `tells` of the
-        spread.  `pace_ms`: what a collector bears in that case.
+        spread.  `pace_ms`: what a collector bears in that case.  Never more often than `least_ms`.
         """
         self.turn(now_ms)
         of = self.settings
@@ -316,6 +318,7 @@
         every = min(of.calm_ms, max(of.beat_ms, pace)) if stirred else of.calm_ms
         if words != self._told_words:
             every = min(every, of.beat_ms)
+        every = max(every, least_ms)
         if now_ms - self._told_at < every or (not words and not self._told_pieces):
             return []
         self._told_at, self._told_words = now_ms, words
@@ -440,4 +443,5 @@
 
     def status(self, now_ms: float) -> Mapping[str, object]:
         """Return plain values for an admin port."""
-        return {"tellers": len(self._told), "refused": self.refused}
+        tellers = sum(bool(told.pieces) for told in self._told.values())
+        return {"tellers": tellers, "refused": self.refused}
