Counts of rollouts by collectors too: sums by zone, and the greatest factors beside them

Change: a collector's row for each zone and class holds the sums over its processes and, for each bet, the greatest logs of single processes, which the test leaves out; rows of zones merge to the same verdict. A leader keeps the fullest row of each zone and does not look while a zone is unheard. A collector's own entries reach itself. What a life that is gone has told counts on at its collector.

Result: property test of 80 drawn fleets: the same accusations and wealth as by all counts (accusers up to 5), never more beyond; the drill 'refuses a tenth' passed by the spread and by collectors with one killed.

--- a/cressrock/collect/carrier.py
+++ b/cressrock/collect/carrier.py
@@ -47,15 +47,17 @@
         source: random.Random,
         log: Any,
         seats: Iterable[str] = (),
+        tells: bool = True,
         collects: bool = False,
         most: int = 0,
         times: Times | None = None,
     ) -> None:
-        """`seats`: names of the council's seats.  `collects`: this process announces that it collects.
+        """`seats`: names of the council's seats.  `tells`: this process is missed if it tells nothing.
+        `collects`: it announces that it collects.
 
         `most`: tellers that still tell by the spread; 0: derived.
         """
-        self.me, self.spread, self.clock, self.log = me, spread, clock, log
+        self.me, self.spread, self.clock, self.log, self.tells = me, spread, clock, log, tells
         self.times = times or Times()
         self.seats = tuple(seats)
         now = clock()
@@ -171,7 +173,11 @@
 
     def _send(self, sends: Iterable[Out]) -> None:
         for out in sends:
-            self.send(out.name, w.encode(out.message))
+            data = w.encode(out.message)
+            if out.name == self.me[0]:  # it collects its own zone
+                self.receive(*self.me, data)
+            else:
+                self.send(out.name, data)
 
     def _refresh(self, now: float) -> None:
         """Take the members' view, if it changed."""
@@ -194,7 +200,8 @@
         """Tell by one way or the other, and move all entries where it changed."""
         before = self.collecting
         collecting = self.way.look(now, self.tellers, len(self._collectors), self._dumb)
-        self.teller.roster(self._collectors if collecting or not self.teller.idle() else (), now)
+        wanted = collecting and self.tells or not self.teller.idle()
+        self.teller.roster(self._collectors if wanted else (), now)
         if collecting != before:
             self.log.info("evidence", way="collectors" if collecting else "spread", why=self.way.why)
             for key, value in sorted(self._entries.items()):
--- a/cressrock/collect/collector.py
+++ b/cressrock/collect/collector.py
@@ -163,7 +163,7 @@
         """Return the summary of each zone that counts now."""
         found: dict[str, Taken] = {}
         for (zone, _), taken in sorted(self._taken.items()):
-            if now_ms - taken.at_ms > self.times.lapse_ms or not taken.summary.tellers:
+            if now_ms - taken.at_ms > self.times.lapse_ms:
                 continue
             best = found.get(zone)
             if best is None or _fuller(taken) > _fuller(best):
@@ -262,6 +262,15 @@
         """Whether anybody tells collectors, here or elsewhere: then sums are the whole evidence."""
         return self._active
 
+    def unheard(self, now_ms: float) -> list[str]:
+        """Return the zones whose tellers are there, but not in any sums that count; half of them do."""
+        chosen = self.merged.chosen(now_ms)
+        return sorted(
+            zone
+            for zone, names in self._tellers.items()
+            if zone not in chosen or 2 * chosen[zone].summary.tellers < len(names)
+        )
+
     def held(self) -> int:
         """Return how many origins' words are held."""
         return len(self._origins)
@@ -436,8 +445,9 @@
     def _summaries(self, zone: str, now: float) -> list[Out]:
         names = self._by_zone[zone]
         origins = {(n, self._origins[n].life) for n in names}
-        heard = [self._origins[n].heard for n in names]
         there = self._tellers.get(zone, set())
+        tellers = names & there  # others may tell as well, but are not missed
+        heard = [self._origins[n].heard for n in tellers]
         parts = sorted(self.fold.parts(zone, origins, now).items())
         groups: list[dict[str, bytes]] = [{}]
         room = ROOM - 200
@@ -451,10 +461,11 @@
         self._number += 1
         recent = sum(now - at <= 2 * self.times.lapse_ms for at in heard)
         unheard = sorted(there - names)[: w.SAMPLE]
-        oldest = max(0.0, now - min(heard))
+        oldest = max(0.0, now - min(heard, default=now))
         found = [
             w.Summary(
-                zone, self._number, len(names), recent, len(there), oldest, unheard, group, index, len(groups)
+                zone, self._number, len(tellers), recent, len(there), oldest, unheard, group, index,
+                len(groups),
             )
             for index, group in enumerate(groups)
         ]  # fmt: skip
--- a/cressrock/collect/words.py
+++ b/cressrock/collect/words.py
@@ -23,7 +23,7 @@
 VERSION = 1
 CAPABLE = b"collect/1"  # what a collector says of itself among the members (`About.extra`)
 MAX_KEY, MAX_VALUE = 64, 640  # bytes, as the spread's own
-MAX_ENTRIES = 64  # of one origin
+MAX_ENTRIES = 256  # of one origin
 SAMPLE = 8  # names of those who were not heard
 
 Count = Annotated[int, Meta(ge=0, le=2**53)]
--- a/cressrock/gateway.py
+++ b/cressrock/gateway.py
@@ -86,7 +86,7 @@
         source=random.Random(source.getrandbits(62)),
         log=world.log,
         in_thread=world.in_thread,
-        collects=role == "planner" and settings.zones is not None,
+        collects=role == "planner" and (settings.zones is not None or settings.rollout is not None),
     )
 
 
--- a/cressrock/ground.py
+++ b/cressrock/ground.py
@@ -146,7 +146,7 @@
         self.evidence = Evidence(
             (place.name, place.life), place.fleet.zone, self.spread, clock=clock,
             source=random.Random(f"{place.name}/{place.life}/evidence"), log=log,
-            seats=part.seats if part is not None else (), collects=self.collects,
+            seats=part.seats if part is not None else (), tells=place.role == "edge", collects=self.collects,
             most=place.fleet.collect_from,
         )  # fmt: skip
         self.fleet: Fleet | None = None
--- a/cressrock/rollout/carrier.py
+++ b/cressrock/rollout/carrier.py
@@ -16,12 +16,12 @@
 import anyio
 import msgspec
 
+from cressrock.collect.carrier import Evidence
 from cressrock.council import decrees as d
 from cressrock.council.client import Council, Kept
 from cressrock.errors import CressrockError
 from cressrock.errors.council import CouncilError
 from cressrock.errors.rollout import RolloutAbsent, RolloutError, RulesWrong
-from cressrock.errors.spread import SpreadError
 from cressrock.fleet.spread import Origin, Spread
 from cressrock.rollout import evidence as e
 from cressrock.rollout import stages as s
@@ -49,6 +49,7 @@
     spread: Spread
     kept: Kept
     council: Council | None
+    evidence: Evidence
     when_spread: list[Callable[[Origin, str], None]]
     when_leaving: list[Callable[[], None]]
 
@@ -152,6 +153,7 @@
         self.chosen = 0  # requests that came to the candidate, in this life
         self.wrong: list[str] = []  # why something is not held, or could not be read
         self.refused = 0  # entries of others that could not be read
+        self._rows: dict[str, dict[str, bytes]] = {}  # the fullest of each zone's sums
         self._pace = s.Pace()
         self._sure = s.Sure()
         self._news = anyio.Event()
@@ -159,6 +161,9 @@
         self._asked: list[str] = []
         self._names: dict[str, tuple[int, str]] = {}  # digests of documents, by topic and number
         self._told_at = 0.0
+        self.sums = v.Sums() if judges else None
+        if self.sums is not None:
+            ground.evidence.folds.add("rollout", self.sums)
         ground.kept.changed.append(self._decreed)
         ground.when_spread.append(self._spread)
         ground.when_leaving.append(self._leaving)
@@ -278,6 +283,8 @@
         if self.judges:
             self.heard = e.Heard(digest)
             self._take_all()
+        if self.sums is not None:
+            self.sums.follow(digest, self.course, len(self.settings.classes))
         if starts.back:
             self._go_back(starts.back)
         return not self.back
@@ -286,9 +293,12 @@
         """Forget a former candidate's counts, here and in the spread."""
         if self.own is not None:
             for key in self.own.keys():
-                self.ground.spread.remove(key)
-        self.ground.spread.remove(e.BACK)
+                self.ground.evidence.put(key, None)
+        self.ground.evidence.put(e.BACK, None)
+        if self.sums is not None:
+            self.sums.follow("", None, 0)
         self.own, self.heard, self.course, self.back, self.accused = None, None, None, "", []
+        self._rows = {}
         self._pace.forget()
 
     def _go_back(self, why: str) -> None:
@@ -309,10 +319,7 @@
     # --- evidence
 
     def _put(self, key: str, value: bytes) -> None:
-        try:
-            self.ground.spread.put(key, value)
-        except SpreadError as full:
-            self.log.warning("counts not told", **full.fields())
+        self.ground.evidence.put(key, value)
         self._take(self.ground.spread.me, key, value)
 
     def _spread(self, origin: Origin, key: str) -> None:
@@ -323,14 +330,24 @@
         if not (key.startswith(e.SEEN) or key == e.BACK):
             return
         value = self.ground.spread.get(key).get(origin)
+        self.ground.evidence.heard(origin, key, value)
         if value is not None:
             self._take(origin, key, value)
 
+    def _view(self) -> e.Heard | v.Summed | None:
+        """Return all counts: by collectors' sums where anybody tells collectors, else as all told them."""
+        collect = self.ground.evidence.collect
+        if collect is None or self.own is None or not collect.active():
+            return self.heard
+        v.fuller(self._rows, collect.merged.parts(self.clock()), self.own.digest)
+        return v.Summed(self.own.digest, self._rows)
+
     def _take_all(self) -> None:
         """Take whatever the spread holds of counts and reports."""
         places = [(cls, stage) for cls in range(len(self.settings.classes)) for stage in range(s.MAX_STAGES)]
         for key in [e.BACK, *(e.key_of(*place) for place in places)]:
             for origin, value in self.ground.spread.get(key).items():
+                self.ground.evidence.heard(origin, key, value)
                 self._take(origin, key, value)
 
     def _take(self, origin: Origin, key: str, value: bytes) -> None:
@@ -393,18 +410,25 @@
             await anyio.sleep(self.settings.look_ms / 1000)
 
     async def _lead(self) -> None:
-        council, state, heard, course = self.ground.council, self.state, self.heard, self.course
+        council, state, heard, course = self.ground.council, self.state, self._view(), self.course
         if not self.ground.leading or council is None:
             self._pace.forget()
             return
         stands = isinstance(self.ground.kept.get(s.TOPIC), d.Decree)
         if not stands or state is None or heard is None or course is None or not state.running:
             return
-        self.accused = v.judge(heard, course, len(self.settings.classes))
+        classes = len(self.settings.classes)
+        if isinstance(heard, e.Heard):
+            self.accused = v.judge(heard, course, classes)
+        else:
+            collect = self.ground.evidence.collect
+            if collect is None or collect.unheard(self.clock()):
+                return  # a zone's counts are not here yet: the test is not looked at without them
+            self.accused = v.weigh(heard, course, classes)
         found = s.Findings(
             heard.answered(state.stage),
             self.accused[0].text(self.settings.classes) if self.accused else "",
-            len(heard.backs),
+            heard.gone_back(),
             _figures(heard),
         )
         number = self.number
@@ -479,7 +503,8 @@
         old = s.decode(stands.value) if stands is not None else None
         if stands is None or old is None or not old.running or old.digest != digest:
             raise RolloutAbsent(f"{digest or 'no digest'} does not run")
-        figures = _figures(self.heard) if self.heard is not None else {}
+        heard = self._view()
+        figures = _figures(heard) if heard is not None else {}
         new = s.end(old, "withdrawn", "by an operator", figures)
         await council.decide(s.TOPIC, s.encode(new), self.settings.hold_ms, if_number=stands.number)
 
@@ -507,14 +532,13 @@
         }
         if self.own is not None:
             found["own"] = _by_class(names, e.by_class(self.own.tallies))
-        if self.heard is not None:
-            found["all"] = _by_class(names, self.heard.total())
-            found["zones"] = {
-                zone: _by_class(names, tallies)
-                for zone, tallies in sorted(self.heard.by_group(self.zone_of).items())
-            }
-            found["processes"] = len({name for name, _ in self.heard.lives})
-            found["backs"] = dict(self.heard.backs)
+        heard = self._view()
+        if heard is not None:
+            zones = heard.by_group(self.zone_of) if isinstance(heard, e.Heard) else heard.zones
+            found["all"] = _by_class(names, heard.total())
+            found["zones"] = {zone: _by_class(names, tallies) for zone, tallies in sorted(zones.items())}
+            found["processes"] = heard.processes()
+            found["backs"] = dict(heard.backs)
             found["accused"] = [a.text(names) for a in self.accused]
         return found
 
@@ -569,7 +593,7 @@
     }
 
 
-def _figures(heard: e.Heard) -> dict[str, float]:
+def _figures(heard: e.Heard | v.Summed) -> dict[str, float]:
     """Return the sums over all classes, for the decree."""
     whole = e.Tally.empty()
     for tally in heard.total().values():
--- a/cressrock/rollout/evidence.py
+++ b/cressrock/rollout/evidence.py
@@ -10,7 +10,9 @@
 pass by promising less.
 
 Counts travel as one entry for each class and stage, of at most 640 bytes, and only grow within an origin's
-life.  Merging takes the greater of each count: order, loss and repetition change nothing.
+life.  Merging takes the greater of each count: order, loss and repetition change nothing.  Of many processes
+they go to the zone's collector, which sends on a `Row` for each class: sums, and beside them what the test
+leaves out, the greatest factors of single processes.
 """
 
 from __future__ import annotations
@@ -30,6 +32,8 @@
 SEEN, BACK = "rollout/seen/", "rollout/back"  # keys in the spread: SEEN + "CLASS/STAGE", and a report
 MARKS = ("refused", "failed", "left", "late", "slow")  # kinds of bad answers, each tested by itself
 SLOW = 0.5  # of the aim: half of it is where a rise shows before clients feel it
+SUMS, GONE = "rollout/sum/", "rollout/gone"  # keys of a zone's sums: SUMS + "CLASS", and of reports
+MOST_TOPS, MOST_WHY = 4, 4  # told of one zone
 MAX_CLASSES = 64
 MAX_ORIGINS = 4096  # lives: three of each of 1,024 processes in one rollout, and some
 
@@ -95,11 +99,36 @@
     why: Annotated[str, Meta(max_length=200)]
 
 
+class Row(Struct, frozen=True, array_like=True, tag=VERSION):
+    """What the processes of one zone counted of one class.
+
+    `tops`: for each kind of mark and each of the test's odds, the greatest logs of single processes' wealth,
+    as little-endian 32-bit floats, at most `MOST_TOPS` of each, greatest first.
+    """
+
+    digest: Annotated[bytes, Meta(min_length=DIGEST, max_length=DIGEST)]
+    stages: Annotated[
+        list[tuple[Annotated[int, Meta(ge=0, lt=MAX_STAGES)], Tally]], Meta(max_length=MAX_STAGES)
+    ]
+    tops: Annotated[list[list[bytes]], Meta(max_length=16)]
+
+
+class Gone(Struct, frozen=True, array_like=True, tag=VERSION):
+    """How many processes of one zone tell, how many of them went back alone, and why some did."""
+
+    digest: Annotated[bytes, Meta(min_length=DIGEST, max_length=DIGEST)]
+    processes: Count
+    backs: Count
+    why: Annotated[dict[str, str], Meta(max_length=MOST_WHY)]
+
+
 _decoder = msgspec.msgpack.Decoder(Piece)
+_row = msgspec.msgpack.Decoder(Row)
+_gone = msgspec.msgpack.Decoder(Gone)
 _back = msgspec.msgpack.Decoder(Back)
 
 
-def encode(message: Piece | Back) -> bytes:
+def encode(message: Piece | Back | Row | Gone) -> bytes:
     """Return an entry's value."""
     return msgspec.msgpack.encode(message)
 
@@ -114,6 +143,16 @@
     return _read(_back, value, "a report")
 
 
+def read_row(value: bytes) -> Row:
+    """Read a class's sums.  Raises RulesWrong, RulesNewer."""
+    return _read(_row, value, "sums of counts")
+
+
+def read_gone(value: bytes) -> Gone:
+    """Read how many went back.  Raises RulesWrong, RulesNewer."""
+    return _read(_gone, value, "a sum of reports")
+
+
 def _read(decoder: msgspec.msgpack.Decoder[_T], value: bytes, what: str) -> _T:
     try:
         return decoder.decode(value)
@@ -232,6 +271,14 @@
         """Return the sums by class."""
         return by_class(self.sums)
 
+    def gone_back(self) -> int:
+        """Return how many processes went back alone."""
+        return len(self.backs)
+
+    def processes(self) -> int:
+        """Return of how many processes something was heard."""
+        return len({name for name, _ in self.lives})
+
     def by_group(self, group: Callable[[str], str]) -> dict[str, dict[int, Tally]]:
         """Return the sums by class of groups of processes: by zone, say."""
         found: dict[str, dict[int, Tally]] = {}
--- a/cressrock/rollout/verdict.py
+++ b/cressrock/rollout/verdict.py
@@ -29,11 +29,32 @@
 
 import heapq
 import math
-from collections.abc import Iterable, Sequence
+import struct
+from collections.abc import Collection, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from functools import lru_cache
-
-from cressrock.rollout.evidence import MARKS, Heard, Own, Tally, by_class
+from typing import Protocol
+
+from cressrock.errors.rollout import RolloutError
+from cressrock.rollout.evidence import (
+    BACK,
+    GONE,
+    MARKS,
+    MOST_TOPS,
+    MOST_WHY,
+    SEEN,
+    SUMS,
+    Gone,
+    Heard,
+    Origin,
+    Own,
+    Row,
+    Tally,
+    by_class,
+    encode,
+    read_gone,
+    read_row,
+)
 from cressrock.rollout.stages import Course, Levels
 
 ODDS = (1.5, 2.0, 3.0, 6.0)  # a slight rise to one that anybody would see; others lie between them
@@ -89,48 +110,291 @@
         )
 
 
+Place = tuple[int, int]  # class and kind of mark
+
+
+class View(Protocol):
+    """What the test asks of the counts."""
+
+    sums: dict[tuple[int, int], Tally]  # by class and stage, over all processes
+
+    def total(self) -> dict[int, Tally]:
+        """Return the sums by class."""
+
+    def tops(self, course: Course, classes: int, count: int) -> dict[Place, list[list[float]]]:
+        """Return the greatest logs of single processes' wealth, by class and kind, for each of `ODDS`."""
+
+
 def judge(heard: Heard, course: Course, classes: int) -> list[Accusation]:
+    """Return what the candidate is accused of by all processes' counts; see `weigh`."""
+    return weigh(_Told(heard), course, classes)
+
+
+def weigh(view: View, course: Course, classes: int) -> list[Accusation]:
     """Return what the candidate is accused of, the surest first; empty: nothing."""
     levels = course.levels
     wanted = needed(levels, classes)
     # With factors left out it is never more: where all of it is too little no process has to be looked at.
     whole: dict[tuple[int, int], list[float]] = {}
-    for (cls, stage), tally in heard.sums.items():
+    for (cls, stage), tally in view.sums.items():
         if stage < len(course.stages) and cls < classes:
             _gather(whole, cls, tally, course.stages[stage].beside, levels.tolerate)
     if all(mixed(logs) < wanted for logs in whole.values()):
         return []
-    logs_of: dict[tuple[int, int], list[list[float]]] = {}
-    for life in _by_process(heard):
-        mine: dict[tuple[int, int], list[float]] = {}
-        for (cls, stage), tally in life:
-            if stage < len(course.stages) and cls < classes:
-                _gather(mine, cls, tally, course.stages[stage].beside, levels.tolerate)
-        for place, logs in mine.items():
-            logs_of.setdefault(place, []).append(logs)
-    total = heard.total()
+    without = levels.accusers - 1
+    tops = view.tops(course, classes, without)
+    total = view.total()
     found = []
-    for (cls, kind), processes in logs_of.items():
-        columns = zip(*processes, strict=True)
-        value = mixed(_without_greatest(logs, levels.accusers - 1) for logs in columns)
+    for place, logs in whole.items():
+        cls, kind = place
+        greatest = tops.get(place) or [[] for _ in ODDS]
+        value = mixed(log - _greatest(top, without) for log, top in zip(logs, greatest, strict=True))
         if value >= wanted:
             found.append(_accusation(cls, kind, value, total[cls]))
     return sorted(found, key=lambda a: (-a.wealth, a.cls, a.kind))
 
 
-def _without_greatest(logs: Sequence[float], count: int) -> float:
-    """Return the sum without the greatest of those that accuse."""
-    return sum(logs) - sum(log for log in heapq.nlargest(count, logs) if log > 0)
+def _greatest(tops: Sequence[float], count: int) -> float:
+    """Return what the greatest `count` of those that accuse come to."""
+    return sum(sorted((top for top in tops if top > 0), reverse=True)[:count])
 
 
-def _by_process(heard: Heard) -> Iterable[list[tuple[tuple[int, int], Tally]]]:
+def _tops(
+    processes: Iterable[Sequence[tuple[tuple[int, int], Tally]]], course: Course, classes: int, count: int
+) -> dict[Place, list[list[float]]]:
+    """Return the greatest logs of single processes, each given by all that it counted."""
+    found: dict[Place, list[list[float]]] = {}
+    if count < 1:
+        return found
+    for counts in processes:
+        mine: dict[Place, list[float]] = {}
+        for (cls, stage), tally in counts:
+            if stage < len(course.stages) and cls < classes:
+                _gather(mine, cls, tally, course.stages[stage].beside, course.levels.tolerate)
+        for place, logs in mine.items():
+            held = found.setdefault(place, [[] for _ in ODDS])
+            for index, log in enumerate(logs):
+                if log > 0:
+                    heapq.heappush(held[index], log)
+                    if len(held[index]) > count:
+                        heapq.heappop(held[index])
+    return found
+
+
+def _by_process(
+    lives: Iterable[tuple[Origin, dict[tuple[int, int], Tally]]],
+) -> Iterable[list[tuple[tuple[int, int], Tally]]]:
     """Return each process's counts, its lives together: a process that restarts is one witness still."""
     found: dict[str, list[tuple[tuple[int, int], Tally]]] = {}
-    for (name, _), life in heard.lives.items():
-        found.setdefault(name, []).extend(life.tallies.items())
+    for (name, _), tallies in lives:
+        found.setdefault(name, []).extend(tallies.items())
     return found.values()
 
 
+class _Told:
+    """The view of a process that hears all counts."""
+
+    def __init__(self, heard: Heard) -> None:
+        self.heard, self.sums, self.total = heard, heard.sums, heard.total
+
+    def tops(self, course: Course, classes: int, count: int) -> dict[Place, list[list[float]]]:
+        """Return the greatest logs of single processes."""
+        lives = ((origin, life.tallies) for origin, life in self.heard.lives.items())
+        return _tops(_by_process(lives), course, classes, count)
+
+
+# --- sums by zone
+
+
+class Sums:
+    """A collector's sums of counts (`collect.collector.Fold`); what a life that is gone has told is kept."""
+
+    def __init__(self) -> None:
+        """Follow no candidate yet; what is told already is kept for when one is."""
+        self.heard: Heard | None = None
+        self.course: Course | None = None
+        self.classes = 0
+        self.refused = 0
+        self._raw: dict[Origin, dict[str, bytes]] = {}
+        self._zone_of: dict[str, str] = {}
+
+    def follow(self, digest: str, course: Course | None, classes: int) -> None:
+        """Count for this candidate from now on; "" for none."""
+        if (self.heard.digest if self.heard is not None else "") == digest:
+            return
+        self.heard = Heard(digest) if digest else None
+        self.course, self.classes = course, classes
+        self._zone_of.clear()
+        for origin, entries in sorted(self._raw.items()):
+            for key, value in sorted(entries.items()):
+                self._count(origin, key, value)
+
+    def _count(self, origin: Origin, key: str, value: bytes) -> bool:
+        if self.heard is None:
+            return False
+        try:
+            return self.heard.take(origin, key, value)
+        except RolloutError:
+            self.refused += 1
+            return False
+
+    def take(self, origin: Origin, key: str, value: bytes | None, at_ms: float) -> bool:
+        """Take an entry; of others' keys nothing."""
+        if not (key.startswith(SEEN) or key == BACK):
+            return False
+        mine = self._raw.setdefault(origin, {})
+        if value is None:
+            return mine.pop(key, None) is not None
+        mine[key] = value
+        return self._count(origin, key, value)
+
+    def forget(self, origin: Origin) -> None:
+        """Forget what a life tells now; what it has told counts on."""
+        self._raw.pop(origin, None)
+
+    def parts(self, zone: str, origins: Collection[Origin], now_ms: float) -> dict[str, bytes]:
+        """Return a zone's sums by key."""
+        heard, course = self.heard, self.course
+        if heard is None or course is None:
+            return {}
+        for name, _ in sorted(origins):
+            self._zone_of[name] = zone
+        lives = [
+            (origin, life.tallies)
+            for origin, life in heard.lives.items()
+            if self._zone_of.get(origin[0]) == zone
+        ]
+        backs = {n: why for n, why in sorted(heard.backs.items()) if self._zone_of.get(n) == zone}
+        if not lives and not backs:
+            return {}
+        digest = bytes.fromhex(heard.digest)
+        few = dict(list(backs.items())[:MOST_WHY])
+        found = {GONE: encode(Gone(digest, len({o[0] for o, _ in lives}), len(backs), few))}
+        sums: dict[int, dict[int, Tally]] = {}
+        for _, tallies in lives:
+            for (cls, stage), tally in tallies.items():
+                sums.setdefault(cls, {}).setdefault(stage, Tally.empty()).add(tally)
+        count = min(MOST_TOPS, course.levels.accusers - 1)
+        tops = _tops(_by_process(lives), course, self.classes, count)
+        for cls, stages in sorted(sums.items()):
+            kinds = [
+                [_pack(sorted(top, reverse=True)) for top in tops.get((cls, kind), [[] for _ in ODDS])]
+                for kind in range(len(MARKS))
+            ]
+            found[f"{SUMS}{cls}"] = encode(Row(digest, sorted(stages.items()), kinds))
+        return found
+
+    def down(self, parts: Mapping[str, Mapping[str, bytes]], now_ms: float) -> tuple[bool, bytes]:
+        """Return that nothing is wanted of anybody."""
+        return False, b""
+
+
+def _pack(values: Sequence[float]) -> bytes:
+    return struct.pack(f"<{len(values)}f", *values)
+
+
+def _unpack(data: bytes) -> list[float]:
+    return list(struct.unpack(f"<{len(data) // 4}f", data[: len(data) // 4 * 4]))
+
+
+def fuller(held: dict[str, dict[str, bytes]], parts: Mapping[str, Mapping[str, bytes]], digest: str) -> None:
+    """Keep of each zone's rows the fullest that was heard: counts only grow, so that is the newest.
+
+    Danger: with a collector's death a zone's rows are away for a moment, or are fewer after.  Looked at again
+    and again over now these zones and now those, the test would have more chances than it reckons with.
+    """
+    wanted = bytes.fromhex(digest)
+    for zone, rows in sorted(parts.items()):
+        mine = held.setdefault(zone, {})
+        for key, value in sorted(rows.items()):
+            size = _size(key, value, wanted)
+            if size is not None and (key not in mine or size >= (_size(key, mine[key], wanted) or (0, 0))):
+                mine[key] = value
+
+
+def _size(key: str, value: bytes, digest: bytes) -> tuple[int, int] | None:
+    """Return how full a row of this candidate is; None for any other."""
+    try:
+        if key == GONE:
+            gone = read_gone(value)
+            return (gone.processes, gone.backs) if gone.digest == digest else None
+        if not (key.startswith(SUMS) and key[len(SUMS) :].isdecimal()):
+            return None
+        row = read_row(value)
+    except RolloutError:
+        return None
+    return (sum(sum(t.trials) for _, t in row.stages), 0) if row.digest == digest else None
+
+
+class Summed:
+    """The view of a seat that has collectors' sums; rows of other candidates, or unreadable, do not count."""
+
+    def __init__(self, digest: str, parts: Mapping[str, Mapping[str, bytes]]) -> None:
+        """`parts`: rows' bytes by zone and key."""
+        wanted = bytes.fromhex(digest)
+        self.sums: dict[tuple[int, int], Tally] = {}
+        self.zones: dict[str, dict[int, Tally]] = {}
+        self.backs: dict[str, str] = {}  # some of those who went back, and why
+        self._backs = self._processes = self.refused = 0
+        self._tops: dict[Place, list[list[list[float]]]] = {}  # by odds, of each zone
+        for zone, rows in sorted(parts.items()):
+            for key, value in sorted(rows.items()):
+                try:
+                    if key == GONE:
+                        gone = read_gone(value)
+                        if gone.digest == wanted:
+                            self._backs += gone.backs
+                            self._processes += gone.processes
+                            self.backs |= gone.why
+                    elif key.startswith(SUMS) and key[len(SUMS) :].isdecimal():
+                        row = read_row(value)
+                        if row.digest == wanted:
+                            self._add(zone, int(key[len(SUMS) :]), row)
+                except RolloutError:
+                    self.refused += 1
+
+    def _add(self, zone: str, cls: int, row: Row) -> None:
+        mine = self.zones.setdefault(zone, {}).setdefault(cls, Tally.empty())
+        for stage, tally in row.stages:
+            mine.add(tally)
+            self.sums.setdefault((cls, stage), Tally.empty()).add(tally)
+        for kind, odds in enumerate(row.tops[: len(MARKS)]):
+            held = self._tops.setdefault((cls, kind), [[] for _ in ODDS])
+            for index, data in enumerate(odds[: len(ODDS)]):
+                held[index].append(_unpack(data))
+
+    def total(self) -> dict[int, Tally]:
+        """Return the sums by class."""
+        return by_class(self.sums)
+
+    def answered(self, stage: int) -> int:
+        """Return the trials under the candidate in a stage."""
+        return sum(tally.trials[0] for (_, at), tally in self.sums.items() if at == stage)
+
+    def gone_back(self) -> int:
+        """Return how many processes went back alone."""
+        return self._backs
+
+    def processes(self) -> int:
+        """Return how many processes these sums are of."""
+        return self._processes
+
+    def tops(self, course: Course, classes: int, count: int) -> dict[Place, list[list[float]]]:
+        """Return the greatest logs of single processes, of all zones together.
+
+        Where a zone has told as many as a row holds, further ones may be as great as the smallest of these:
+        so many are assumed, which can only leave less of the wealth.
+        """
+        found: dict[Place, list[list[float]]] = {}
+        for place, odds in self._tops.items():
+            mine = found[place] = [[] for _ in odds]
+            for index, zones in enumerate(odds):
+                for tops in zones:
+                    more = count - MOST_TOPS if len(tops) >= MOST_TOPS else 0
+                    mine[index] += tops + tops[-1:] * max(0, more)
+        return found
+
+
 def _gather(
     into: dict[tuple[int, int], list[float]], cls: int, tally: Tally, beside: float, tolerate: float
 ) -> None:
--- a/tests/test_collect.py
+++ b/tests/test_collect.py
@@ -12,6 +12,9 @@
 from cressrock.collect import teller as te
 from cressrock.collect import words as w
 from cressrock.errors.collect import CollectError, CollectMalformed, CollectTooLarge, CollectVersion
+from cressrock.rollout import evidence as re
+from cressrock.rollout import stages as rs
+from cressrock.rollout import verdict as rv
 from cressrock.zones import evidence as ev
 from cressrock.zones.evidence import All, Said, Word
 from cressrock.zones.sums import Mark, Summed, Sums, Told, Who
@@ -186,7 +189,7 @@
     one.roster([edge(1, life=2), *net.peers[3:]], ["p0"], 2.0)
     assert one.held() == 0
     for _ in range(3):
-        for key in range(200):
+        for key in range(w.MAX_ENTRIES + 50):
             one.receive(3.0, "e1", 2, w.Tell(1, [w.Entry(f"k{key}", 1, b"x")]))
     assert len(one._origins["e1"].words) == w.MAX_ENTRIES
 
@@ -493,3 +496,86 @@
     one._owner["a"] = ("p1", 1)
     words = [out.message for out in one.tick(950.0) if isinstance(out.message, w.Words)]
     assert words[0].words[0].entry.age_ms == 450.0
+
+
+# --- rollouts' sums
+
+
+def document(accusers):
+    return rs.Course(
+        stages=[rs.Stage(part=0.5, beside=0.5), rs.Stage(beside=0.2)], levels=rs.Levels(accusers=accusers)
+    )
+
+
+def counted(source, processes, digest):
+    """Return each life's entries: some processes fare badly under the candidate, most as beside it."""
+    found = {}
+    for n in range(processes):
+        for life in range(1, source.choice([2, 2, 3])):
+            own = re.Own(digest)
+            chance = source.choice([0.02, 0.05, 0.5])
+            for _ in range(source.randint(0, 60)):
+                candidate = source.random() < 0.5
+                bad = source.random() < (chance if candidate else 0.05)
+                ended = re.Ended.REFUSED if bad else re.Ended.SERVED
+                own.count(source.randrange(2), source.randrange(2), candidate, ended, 10.0, 100.0)
+            found[f"e{n}", life] = own.told()
+    return found
+
+
+@settings(max_examples=80, deadline=None)
+@given(st.integers(0, 2**32), st.sampled_from([1, 2, 3, 5, 8]))
+def test_rollouts_sums_by_zone_accuse_as_all_counts_do_and_never_more(seed, accusers):
+    source = random.Random(seed)
+    digest, course = "ab" * (rs.DIGEST), document(accusers)
+    heard, zones = re.Heard(digest), {z: rv.Sums() for z in "abc"}
+    for one in zones.values():
+        one.follow(digest, course, 2)
+    lives = counted(source, source.randint(1, 20), digest)
+    entries = [(origin, key, value) for origin, told in lives.items() for key, value in told]
+    for origin, key, value in source.sample(entries, len(entries)) + source.choices(entries or [None], k=9):
+        if entries:
+            heard.take(origin, key, value)
+            zones["abc"[int(origin[0][1:]) % 3]].take(origin, key, value, 0.0)
+    parts = {z: one.parts(z, [o for o in lives if "abc"[int(o[0][1:]) % 3] == z], 0.0) for z, one in
+             zones.items()}  # fmt: skip
+    view = rv.Summed(digest, parts)
+    assert view.sums == {p: t for p, t in heard.sums.items()}
+    assert view.processes() == heard.processes() and view.answered(1) == heard.answered(1)
+    one, other = rv.judge(heard, course, 2), rv.weigh(view, course, 2)
+    if accusers - 1 <= re.MOST_TOPS:
+        assert [(a.cls, a.kind, a.candidate) for a in one] == [(a.cls, a.kind, a.candidate) for a in other]
+        for a, b in zip(one, other, strict=True):
+            assert a.wealth == pytest.approx(b.wealth, rel=1e-5)
+    else:
+        sure = {(a.cls, a.kind): a.wealth for a in one}
+        assert all(b.wealth <= sure.get((b.cls, b.kind), -1.0) + 1e-3 for b in other)
+    # What a life that is gone has told counts on, and a collector with less replaces nothing.
+    held = {}
+    rv.fuller(held, parts, digest)
+    fewer = rv.Sums()
+    fewer.follow(digest, course, 2)
+    for origin, told in list(lives.items())[:1]:
+        for key, value in told:
+            fewer.take(origin, key, value, 0.0)
+    rv.fuller(held, {"a": fewer.parts("a", list(lives)[:1], 0.0)}, digest)
+    rv.fuller(held, {"a": {"rollout/sum/0": b"\x01", "x": b"y"}}, digest)
+    assert rv.Summed(digest, held).sums == view.sums
+    rv.fuller(held, parts, "cd" * rs.DIGEST)
+    assert rv.Summed("cd" * rs.DIGEST, held).sums == {}
+
+
+def test_sums_of_a_candidate_that_is_heard_of_late_count_what_was_told_before():
+    digest, sums = "ab" * rs.DIGEST, rv.Sums()
+    own = re.Own(digest)
+    own.count(0, 0, True, re.Ended.SERVED, 1.0, 10.0)
+    for key, value in own.told():
+        sums.take(("e1", 1), key, value, 0.0)
+    back = re.encode(re.Back(bytes.fromhex(digest), "too slow"))
+    sums.take(("e1", 1), re.BACK, back, 0.0)
+    assert sums.parts("a", [("e1", 1)], 0.0) == {}
+    sums.follow(digest, document(2), 2)
+    view = rv.Summed(digest, {"a": sums.parts("a", [("e1", 1)], 0.0)})
+    assert view.answered(0) == 1 and view.gone_back() == 1 and view.backs == {"e1": "too slow"}
+    sums.forget(("e1", 1))
+    assert rv.Summed(digest, {"a": sums.parts("a", [], 0.0)}).answered(0) == 1
--- a/tests/test_rollout_drill.py
+++ b/tests/test_rollout_drill.py
@@ -5,6 +5,7 @@
 
 import anyio
 import msgspec
+import pytest
 
 from cressrock.errors.lab import ProcessNotReady
 from cressrock.lab import fragile
@@ -33,9 +34,14 @@
     }  # fmt: skip
 
 
-def play(story, *, rate=40.0, programs=None, seed=1, edges_die=False, site=None):
+def play(story, *, rate=40.0, programs=None, seed=1, edges_die=False, site=None, collect_from=0):
     zones = {n: ("a" if n in ("d0", "d1", "p0") else "b", "r") for n in ALL}
-    common = Common(seats=PLANNERS, zones=zones, hold_ms=HOLD_MS, more=more)
+
+    def with_collectors(drill, name, value):
+        more(drill, name, value)
+        value["fleet"]["collect_from"] = collect_from
+
+    common = Common(seats=PLANNERS, zones=zones, hold_ms=HOLD_MS, more=with_collectors)
     script = Script(
         seed=seed, dispatchers=3, planners=3, nodes=3, rate=rate, real=True, way_ms=60.0, length_ms=1e9,
         troubles=(), site=site or usual(),
@@ -110,9 +116,22 @@
     assert again.get("error") == "rollout-spent", again
 
 
-def test_a_candidate_that_refuses_a_tenth_of_a_class_is_halted_and_gone_everywhere():
+@pytest.mark.parametrize("collect_from", [0, 1], ids=["by the spread", "by collectors, one killed"])
+def test_a_candidate_that_refuses_a_tenth_of_a_class_is_halted_and_gone_everywhere(collect_from):
+    async def evidence(name):
+        return ((await drill_of[0].ask(name)) or {}).get("fleet", {}).get("evidence", {})
+
+    async def told():
+        found = [await evidence(name) for name in EDGES]
+        return all(one.get("collecting") and one.get("answered") for one in found)
+
+    drill_of = []
+
     async def story(drill):
+        drill_of.append(drill)
         await ready(drill)
+        if collect_from:
+            await drill.until("all tell collectors", told)
         # A tenth of the saves would get no time at all.
         drill.bad = document(
             drill, {"minuta": {"max_bytes": 190, "aim_ms": 1, "deadline_ms": 1}},
@@ -124,16 +143,25 @@
             return await all_say(drill, held=[digest])
 
         await drill.until("held by all", held)
+        if collect_from:
+            await drill.answered(20)
+            collector = (await evidence("d0"))["to"]
+            await drill._do(st.Kill(collector))
+            await drill.answered(20)
+            await drill._do(st.Restart(collector))
 
         async def halted():
             return (await ask(drill, "p1")).get("state") == "halted"
 
         await drill.until("halted", halted, 150000)
+        if collect_from:
+            # By their collectors' sums: nothing of it is in the spread, so a seat has heard no edge there.
+            assert (await ask(drill, "p1"))["processes"] == 3
         assert "class scrittura: refused" in (await ask(drill, "p1"))["why"]
         await gone_everywhere(drill, digest)
 
     saves = Traffic(methods={"GET": 0.2, "PUT": 0.8}, put_least_bytes=100, put_most_bytes=1000)
-    play(story, site=msgspec.structs.replace(usual(), traffic=saves))
+    play(story, site=msgspec.structs.replace(usual(), traffic=saves), collect_from=collect_from)
 
 
 def test_a_candidate_that_kills_its_process_is_halted_by_those_that_went_back_alone():
