A collector that woke asks once; many without collectors do not write into the spread at once

Need: a test of collectors that stood still in calm found that one that woke asked its tellers for everything again and again, in each answer too. And 4,800 that lose all collectors would have moved their entries into the spread in one moment.

Change: asked are those that were not heard since it woke, by pushes alone, for a bounded time. Entries move into the spread at drawn times within what it carries; rollouts' counts keep that pace as well. Bound of lives of a rollout above the coming size. Tests of the carrier without a network, of hollow fleets (bytes flat from 60 to 240 edges, a lost zone given up no later than by all words, nobody moved in calm).

--- a/benchmarks/collect.py
+++ b/benchmarks/collect.py
@@ -182,8 +182,10 @@
     if given.day:
         day(seeds)
         return
-    asked_git = ["git", "-C", str(ROOT), "describe", "--always", "--dirty"]
-    commit = subprocess.run(asked_git, capture_output=True, text=True, check=True).stdout.strip()
+    git = ["git", "-C", str(ROOT)]
+    commit = subprocess.run([*git, "describe", "--always"], capture_output=True, text=True, check=True)
+    changed = subprocess.run([*git, "diff", "--quiet", "HEAD", "--", "cressrock", "benchmarks/collect.py"])
+    commit = commit.stdout.strip() + "-dirty" * bool(changed.returncode)
     jobs = [
         (scene, int(size), seed)
         for size in given.sizes.split(",")
--- a/cressrock/collect/carrier.py
+++ b/cressrock/collect/carrier.py
@@ -15,7 +15,15 @@
 
 from cressrock.collect import words as w
 from cressrock.collect.collector import Collect, Folds, Peer
-from cressrock.collect.teller import Out, Teller, Times, Way, most_in_spread, spread_pace_ms
+from cressrock.collect.teller import (
+    CARRIED_S,
+    Out,
+    Teller,
+    Times,
+    Way,
+    most_in_spread,
+    spread_pace_ms,
+)
 from cressrock.errors import CressrockError
 from cressrock.errors.collect import CollectError
 from cressrock.fleet.members import Member
@@ -72,6 +80,9 @@
         self.untold = 0  # entries that neither way took
         self._entries: dict[str, bytes] = {}
         self._in_spread: set[str] = set()
+        self._source = source
+        self._hold_until = 0.0  # nothing goes into the spread before: not all of many in one moment
+        self._factor = 1.0
         self._collectors: tuple[Origin, ...] = ()
         self._dumb: tuple[str, ...] = ()
         self._stale = True  # the members changed
@@ -94,7 +105,7 @@
             if self.collecting:
                 self.teller.put(key, value, self.clock())
                 self._news.set()
-            else:
+            elif self.clock() >= self._hold_until:
                 self._spread(key, value)
         except CressrockError as wrong:
             self.untold += 1
@@ -119,9 +130,11 @@
         """Return how often evidence may change while it is wanted; None: as the spread bears."""
         return self.teller.pace_ms() if self.collecting else None
 
-    def least_ms(self, carried_s: float, usual_ms: float) -> float:
+    def least_ms(self) -> float:
         """Return the least time between two tellings: where many tell by the spread, what it carries."""
-        return 0.0 if self.collecting else spread_pace_ms(self.tellers, carried_s, usual_ms)
+        if self.collecting:
+            return 0.0
+        return spread_pace_ms(self.tellers, CARRIED_S, self.times.renew_ms) * self._factor
 
     def changed(self) -> None:
         """Hear that the members changed."""
@@ -204,10 +217,14 @@
         self.teller.roster(self._collectors if wanted else (), now)
         if collecting != before:
             self.log.info("evidence", way="collectors" if collecting else "spread", why=self.way.why)
+            self._factor = 0.5 + self._source.random()
+            self._hold_until = now + self.least_ms()
             for key, value in sorted(self._entries.items()):
-                if not collecting:
-                    self._spread(key, value)
                 self.teller.put(key, value if collecting else None, now)
+        if not collecting and self._hold_until and now >= self._hold_until:
+            self._hold_until = 0.0
+            for key, value in sorted(self._entries.items()):
+                self._spread(key, value)
         elif collecting and self._in_spread and self.teller.answered():
             for key in sorted(self._in_spread):  # only now: a collector has them
                 self._spread(key, None)
--- a/cressrock/collect/collector.py
+++ b/cressrock/collect/collector.py
@@ -217,7 +217,8 @@
         self._next = now_ms
         self._ticked = now_ms
         self._deaf_until = now_ms
-        self._whole = False  # tellers are to be asked for everything
+        self._whole = False  # tellers are to be asked for everything,
+        self._woken = now_ms  # since then
         self._active = False
         self._stir, self._down = False, b""
         self._pushed: dict[str, float] = {}  # to whom, and when, since the stir began
@@ -368,6 +369,8 @@
             self._forget(name)
         self._handing.clear()
         self._deaf_until, self._whole = now + self.times.lapse_ms, self._active or self._whole
+        self._woken = now
+        self._pushed.clear()
         self.counts["woke"] += 1
         return True
 
@@ -389,7 +392,7 @@
         stir, down = self.fold.down(self.merged.parts(now_ms), now_ms)
         if stir != self._stir or down != self._down:
             self._number += 1
-        if not stir:
+        if not stir and not self._whole:
             self._pushed.clear()
         self._stir, self._down = stir, down
         if stir or self._whole:
@@ -416,15 +419,19 @@
     def _pushes(self, now: float) -> list[Out]:
         """Say to those who were not told yet, or whose word did not come, that evidence is wanted."""
         again = max(2 * self._pace(), 1000.0)
-        names = []
+        names, waits = [], False
         for name in self._mine():
             pushed, held = self._pushed.get(name), self._origins.get(name)
-            if pushed is None or now - pushed > again and (held is None or now - held.heard > again):
+            heard = held.heard if held is not None else -1e18
+            missing = self._whole and heard < self._woken
+            waits |= missing
+            silent = self._stir and (pushed is None or now - heard > again)
+            if (missing or silent) and (pushed is None or now - pushed > again):
                 names.append(name)
                 if len(names) >= PUSHES:
                     break
-        if not names:
-            self._whole = False
+        # Danger: asked for everything in every answer, tellers would never come to an end.
+        self._whole = self._whole and waits and now - self._woken <= 2 * self.times.renew_ms
         got = self._got([])
         for name in names:
             self._pushed[name] = now
@@ -437,7 +444,8 @@
     def _got(self, numbers: list[int]) -> w.Got:
         window = len(self._mine_zones()) * self.times.beat_ms
         window = min(self._pace(), max(window, self.times.beat_ms / 2))
-        return w.Got(numbers, self._number, self._stir, window, self._pace(), self._whole, self._down)
+        whole = self._whole and not numbers
+        return w.Got(numbers, self._number, self._stir, window, self._pace(), whole, self._down)
 
     def _mine_zones(self) -> list[str]:
         return [zone for zone in self._tellers if self.owner(zone) == self.me]
--- a/cressrock/collect/teller.py
+++ b/cressrock/collect/teller.py
@@ -266,6 +266,7 @@
 BUDGET_BYTES_S = 2000.0  # of control for each process, in all
 SWIM_BYTES_S = 600.0  # of it for the members (benchmarks/results/members.md)
 WORD_BYTES = 130.0  # an entry of evidence with its key and head in the spread
+CARRIED_S = 40.0  # writes a second: 41 of 230 members are carried, 83 of 460 no more (the figures)
 FIRST_MS = 1000.0  # a first change comes after so long
 COPIES = 2.0  # a rumour reaches each process about so often
 
--- a/cressrock/rollout/carrier.py
+++ b/cressrock/rollout/carrier.py
@@ -362,7 +362,8 @@
 
     def _tell(self) -> None:
         """Tell what was counted, and look whether this process alone fares far worse."""
-        if self.own is None or self.clock() < self._told_at + self.settings.tell_ms:
+        every = max(self.settings.tell_ms, self.ground.evidence.least_ms())
+        if self.own is None or self.clock() < self._told_at + every:
             return
         self._told_at = self.clock()
         for key, value in self.own.told():
--- a/cressrock/rollout/evidence.py
+++ b/cressrock/rollout/evidence.py
@@ -35,7 +35,7 @@
 SUMS, GONE = "rollout/sum/", "rollout/gone"  # keys of a zone's sums: SUMS + "CLASS", and of reports
 MOST_TOPS, MOST_WHY = 4, 4  # told of one zone
 MAX_CLASSES = 64
-MAX_ORIGINS = 4096  # lives: three of each of 1,024 processes in one rollout, and some
+MAX_ORIGINS = 16384  # lives: three of each of 4,806 processes in one rollout, and some
 
 Origin = tuple[str, int]
 _T = TypeVar("_T")
--- a/cressrock/zones/carrier.py
+++ b/cressrock/zones/carrier.py
@@ -210,9 +210,7 @@
             self.choice.loads(self._loads(now))
             evidence = self.ground.evidence
             stir = self.choice.stirred() or evidence.stirred() or self.heard.all.accused(now)
-            of = self.choice.settings
-            least = evidence.least_ms(of.tells, of.calm_ms)
-            for change in self.choice.own.tell(now, stir, evidence.pace_ms(), least):
+            for change in self.choice.own.tell(now, stir, evidence.pace_ms(), evidence.least_ms()):
                 evidence.put(change.key, change.value)
             await anyio.sleep(self.choice.settings.beat_ms / 2000)
 
--- a/tests/test_collect.py
+++ b/tests/test_collect.py
@@ -1,5 +1,6 @@
 """Collecting evidence: words merge whatever the network does, sums are never added twice, tellers go on."""
 
+import dataclasses
 import json
 import random
 from collections import Counter
@@ -11,7 +12,12 @@
 from cressrock.collect import collector as co
 from cressrock.collect import teller as te
 from cressrock.collect import words as w
+from cressrock.collect.carrier import Evidence
 from cressrock.errors.collect import CollectError, CollectMalformed, CollectTooLarge, CollectVersion
+from cressrock.fleet.members import Member
+from cressrock.fleet.messages import State as Life
+from cressrock.lab.collectsim import CollectSim, figures, turns
+from cressrock.lab.zonesim import Scene, ZoneSim
 from cressrock.rollout import evidence as re
 from cressrock.rollout import stages as rs
 from cressrock.rollout import verdict as rv
@@ -176,6 +182,15 @@
             break
     pushes = {out.name for out in sends if isinstance(out.message, w.Got) and out.message.whole}
     assert pushes == {"e0", "e1", "e2"}
+    asked = Counter()
+    for step in range(200):  # and not again and again
+        now = late + 3000 + step * 250
+        for out in owner.tick(now):
+            asked[out.name] += isinstance(out.message, w.Got)
+            if isinstance(out.message, w.Got) and out.name != "e2":
+                answers = owner.receive(now, out.name, 1, w.Tell(step, []))
+                assert not answers[0].message.whole
+    assert asked["e0"] <= 1 and asked["e1"] <= 1 and 1 < asked["e2"] <= 22, asked
 
 
 def test_words_of_the_unknown_the_dead_and_former_lives_are_not_kept():
@@ -579,3 +594,153 @@
     assert view.answered(0) == 1 and view.gone_back() == 1 and view.backs == {"e1": "too slow"}
     sums.forget(("e1", 1))
     assert rv.Summed(digest, {"a": sums.parts("a", [], 0.0)}).answered(0) == 1
+
+
+# --- the carrier, without a network
+
+
+class Wire:
+    """Some processes' carriers in one place; time is told, and so is who is there."""
+
+    def __init__(self, tellers, seats=3, most=0):
+        self.now, self.there, self.all = 0.0, {}, {}
+        self.seats = [f"p{n}" for n in range(seats)]
+        for name in [f"e{n}" for n in range(tellers)] + self.seats:
+            collects = name in self.seats
+            one = Evidence(
+                (name, 1), "a", Shelf(), clock=lambda: self.now, source=random.Random(name), log=Quiet(),
+                seats=self.seats, tells=not collects, collects=collects, most=most,
+            )  # fmt: skip
+            one.folds.add("listed", Listed())
+            one.send = lambda to, data, name=name: self.pass_on(name, to, data)
+            one.members = lambda: tuple(self.there.values())
+            self.all[name] = one
+            self.there[name] = Member(
+                name, 1, "planner" if collects else "edge", "a", "", "", Life.ALIVE, 0.0,
+                w.CAPABLE if collects else b"",
+            )  # fmt: skip
+        self.dead, self.wire = set(), []
+
+    def pass_on(self, sender, to, data):
+        self.wire.append((sender, to, data))
+
+    def go(self, ms):
+        end = self.now + ms
+        while self.now < end:
+            self.now += 50.0
+            for name, one in self.all.items():
+                if name in self.dead:
+                    continue
+                one._refresh(self.now)
+                one._look(self.now)
+                one._send(one.teller.tick(self.now))
+                if one.collect is not None:
+                    one._send(one.collect.tick(self.now))
+            while self.wire:
+                sender, to, data = self.wire.pop(0)
+                if to in self.all and to not in self.dead:
+                    self.all[to].receive(sender, 1, data)
+
+    def change(self):
+        for one in self.all.values():
+            one.changed()
+
+
+class Shelf:
+    """A spread that goes nowhere."""
+
+    def __init__(self):
+        self.held, self.writes = {}, 0
+
+    def put(self, key, value):
+        self.held[key] = value
+        self.writes += 1
+
+    def remove(self, key):
+        self.held.pop(key, None)
+
+
+class Quiet:
+    def info(self, *given, **more):
+        pass
+
+    warning = info
+
+
+def test_entries_move_from_the_spread_to_collectors_and_back_and_are_never_nowhere():
+    wire = Wire(5, most=1)
+    edges = [one for name, one in wire.all.items() if name.startswith("e")]
+    for one in edges:
+        one.put("zones/0", b"v")
+        assert one.spread.held == {"zones/0": b"v"}, "as before, until the way is decided"
+    for _ in range(100):
+        wire.go(50)
+        held = [wire.all[p].collect.fold.folds["listed"].said for p in wire.seats]
+        for one in edges:
+            assert one.spread.held or any(one.me in said for said in held), "nowhere"
+    assert all(one.collecting and not one.spread.held and one.teller.answered() for one in edges)
+    # Seats that say nothing of collecting, as older ones do: by the spread again, after a hold.
+    for name in wire.seats[1:]:
+        wire.there[name] = dataclasses.replace(wire.there[name], extra=b"")
+    wire.change()
+    wire.go(12000)
+    assert all(not one.collecting and one.spread.held == {"zones/0": b"v"} for one in edges)
+    assert "announce no collect/1" in edges[0].status()["why"]
+
+
+def test_many_without_collectors_do_not_all_write_into_the_spread_at_once():
+    wire = Wire(3, most=1)
+    for one in wire.all.values():
+        one.put("zones/0", b"v")
+    wire.go(3000)
+    for n in range(4800):
+        wire.there[f"x{n}"] = Member(f"x{n}", 1, "edge", "b", "", "", Life.ALIVE, 0.0, b"")
+    for name in wire.seats:
+        del wire.there[name]
+        wire.dead.add(name)
+    wire.change()
+    edges = [one for name, one in wire.all.items() if name.startswith("e")]
+    before = [one.spread.writes for one in edges]
+    wire.go(20000)
+    assert all(not one.collecting for one in edges)
+    least = [one.least_ms() for one in edges]
+    assert min(least) >= 60000 and len(set(least)) == 3, "drawn"
+    assert [one.spread.writes for one in edges] == before
+    wire.go(200000)
+    assert all(one.spread.held for one in edges)
+
+
+# --- hollow fleets
+
+
+def test_what_each_sends_does_not_grow_with_the_fleet_and_a_lost_zone_is_given_up_as_soon():
+    sent, given_up = [], []
+    scene = Scene("z", ((4000.0, lambda sim: sim.lose("a1")),), 11000.0, 1)
+    for edges in (60, 120, 240):
+        sim = CollectSim(3, edges=edges, capacity=edges * 2.5 / (0.6 * 3))
+        sim.run(scene)
+        found = figures(sim, 11.0, 4000.0, "a1")
+        sent.append(found["both_bytes_s"])
+        given_up.append(found["given_up_ms"])
+        assert found["sound_given_up"] == 0
+    assert max(sent) < 1.15 * min(sent) and max(sent) < 600, sent
+    old = ZoneSim(3, edges=240, capacity=240 * 2.5 / (0.6 * 3))
+    old.run(scene)
+    before = turns(old)[0][0] - 4000.0
+    assert given_up[-1] <= before + old.settings.beat_ms, (given_up, before)
+
+
+@pytest.mark.parametrize("trouble", ["kill", "stop"])
+def test_collectors_that_die_or_stand_still_in_calm_move_nobody(trouble):
+    def hurt(sim):
+        if trouble == "stop":
+            for name in list(sim.machines)[:3]:
+                sim.stop(name, 4000.0)
+        else:
+            sim.kill("m1")
+            sim.kill("m2")
+
+    sim = CollectSim(5, edges=90, capacity=90 * 2.5 / (0.6 * 3))
+    sim.run(Scene("z", ((3000.0, hurt),), 16000.0, 0))
+    assert sim.decrees == []
+    assert sum(t.answered() for t in sim.tellers.values()) == 90, "and all of them are heard again"
