Collecting: no spin without collectors, a full spread ends nothing, sums only of collectors

Without a collector the carrier's next time lay in the past, so its loop would have turned a thousand times a second; a full spread at a change of ways would have ended the process.

Change: nothing is due while nobody is to be told; entries that neither way takes are counted; summaries and handed words are taken of collectors alone, and bounded.

--- a/cressrock/collect/carrier.py
+++ b/cressrock/collect/carrier.py
@@ -101,16 +101,22 @@
             self._entries.pop(key, None)
         else:
             self._entries[key] = value
+        if self.collecting:
+            self._tell(key, value)
+            self._news.set()
+        elif self.clock() >= self._hold_until:
+            self._spread(key, value)
+
+    def _tell(self, key: str, value: bytes | None) -> None:
         try:
-            if self.collecting:
-                self.teller.put(key, value, self.clock())
-                self._news.set()
-            elif self.clock() >= self._hold_until:
-                self._spread(key, value)
-        except CressrockError as wrong:
-            self.untold += 1
-            if self.untold == 1:
-                self.log.warning("evidence not told", key=key, **wrong.fields())
+            self.teller.put(key, value, self.clock())
+        except CollectError as wrong:
+            self._untold(key, wrong)
+
+    def _untold(self, key: str, wrong: CressrockError) -> None:
+        self.untold += 1
+        if self.untold == 1:
+            self.log.warning("evidence not told", key=key, **wrong.fields())
 
     def down(self, room: str) -> bytes:
         """Return what came down for a room; b"" while there is nothing."""
@@ -220,7 +226,7 @@
             self._factor = 0.5 + self._source.random()
             self._hold_until = now + self.least_ms()
             for key, value in sorted(self._entries.items()):
-                self.teller.put(key, value if collecting else None, now)
+                self._tell(key, value if collecting else None)
         if not collecting and self._hold_until and now >= self._hold_until:
             self._hold_until = 0.0
             for key, value in sorted(self._entries.items()):
@@ -230,12 +236,15 @@
                 self._spread(key, None)
 
     def _spread(self, key: str, value: bytes | None) -> None:
-        if value is not None:
-            self.spread.put(key, value)
-            self._in_spread.add(key)
-        elif key in self._in_spread:
-            self.spread.remove(key)
-            self._in_spread.discard(key)
+        try:
+            if value is not None:
+                self.spread.put(key, value)
+                self._in_spread.add(key)
+            elif key in self._in_spread:
+                self._in_spread.discard(key)
+                self.spread.remove(key)
+        except CressrockError as wrong:
+            self._untold(key, wrong)
 
     def status(self) -> Mapping[str, Any]:
         """Return plain values for an admin port."""
--- a/cressrock/collect/collector.py
+++ b/cressrock/collect/collector.py
@@ -29,6 +29,7 @@
 
 SHARE = 0.5  # of a core, that the words of one zone may take
 WORD_MS = 0.1  # of a core for a word, until it is measured
+MOST_SUMS = 4096  # summaries held, of all zones and collectors
 PUSHES = 200  # at a tick: more wait for the next
 HANDS = 16  # datagrams of a handover at a tick
 
@@ -126,6 +127,8 @@
         """Take a piece of a summary; older ones than what is held change nothing."""
         key = (summary.zone, by)
         held = self._taken.get(key)
+        if held is None and len(self._taken) + len(self._pieces) >= MOST_SUMS and key not in self._pieces:
+            return
         if held is not None and held.summary.number >= summary.number:
             return
         pieces = self._pieces.setdefault(key, _Pieces())
@@ -285,6 +288,9 @@
             return []
         if isinstance(message, w.Tell):
             return self._told(now_ms, sender, life, message)
+        if (sender, life) not in self._collectors:
+            self.counts["unknown"] += 1  # no collector, as far as is known here
+            return []
         if isinstance(message, w.Summary):
             self.merged.take(now_ms, (sender, life), message)
         elif isinstance(message, w.Words):
--- a/cressrock/collect/teller.py
+++ b/cressrock/collect/teller.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
@@ -208,6 +209,8 @@
 
     def next_due(self) -> float:
         """Return when `tick` may have something to do, without a change of entries or collectors."""
+        if self.to is None:
+            return math.inf  # nobody to tell: asked again whenever the carrier looks
         if self._wait_until:
             return self._wait_until
         return max(self._due, self._renew if all(o.told for o in self._own.values()) else self._due)
--- a/tests/test_collect.py
+++ b/tests/test_collect.py
@@ -14,6 +14,7 @@
 from cressrock.collect import words as w
 from cressrock.collect.carrier import Evidence
 from cressrock.errors.collect import CollectError, CollectMalformed, CollectTooLarge, CollectVersion
+from cressrock.errors.spread import SpreadOriginFull
 from cressrock.fleet.members import Member
 from cressrock.fleet.messages import State as Life
 from cressrock.lab.collectsim import CollectSim, figures, turns
@@ -744,3 +745,45 @@
     sim.run(Scene("z", ((3000.0, hurt),), 16000.0, 0))
     assert sim.decrees == []
     assert sum(t.answered() for t in sim.tellers.values()) == 90, "and all of them are heard again"
+
+
+def test_a_carrier_has_nothing_due_at_once_for_ever_and_a_full_spread_ends_nothing():
+    wire = Wire(3)
+    for _ in range(60):
+        wire.go(1000)
+        assert all(one.teller.next_due() > wire.now for one in wire.all.values()), "it would spin"
+    wire = Wire(3, most=1)
+    wire.go(3000)
+    edge = wire.all["e0"]
+    for _ in range(40):
+        wire.go(1000)
+        assert all(
+            one.teller.next_due() > wire.now for name, one in wire.all.items() if name.startswith("e")
+        ), "it would spin"
+
+    def full(key, value):
+        raise SpreadOriginFull("no room")
+
+    edge.spread.put = full
+    edge.put("zones/0", b"v")
+    for name in wire.seats:
+        wire.there[name] = dataclasses.replace(wire.there[name], extra=b"")
+    wire.change()
+    wire.go(15000)
+    assert edge.untold == 1 and not edge.collecting
+    edge.put("zones/1", b"x" * 9000)
+    assert edge.untold == 2
+
+
+def test_summaries_and_words_of_who_does_not_collect_are_not_taken():
+    net = Two(random.Random(1), 2)
+    one = net.seats["p0"]
+    said = w.Summary("a", 5, 1, 1, 1, 0.0, [], {})
+    for sender, life in (("e0", 1), ("p1", 7), ("nobody", 1)):
+        assert one.receive(1.0, sender, life, said) == []
+        assert one.receive(1.0, sender, life, w.Words(1, "a", [w.Held("e1", 1, w.Entry("k", 1, b""))])) == []
+    assert one.held() == 0 and one.merged.chosen(1.0) == {}
+    merged = co.Merged(TIMES)
+    for n in range(co.MOST_SUMS + 50):
+        merged.take(0.0, ("p0", 1), w.Summary(f"z{n}", 1, 1, 1, 1, 0.0, [], {}))
+    assert len(merged.chosen(0.0)) == co.MOST_SUMS
