--- a/benchmarks/collect.py
+++ b/benchmarks/collect.py
@@ -9,20 +9,27 @@
 """
 
 import argparse
+import random
 import subprocess
 import sys
 import time
+import tracemalloc
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
 sys.path.insert(0, str(ROOT))
 
-from cressrock.collect.teller import ranked  # noqa: E402
+from cressrock.collect.collector import Collect, Peer  # noqa: E402
+from cressrock.collect.teller import Teller, Times, ranked  # noqa: E402
+from cressrock.collect.words import Entry, Tell, decode, encode  # noqa: E402
 from cressrock.lab import capacity  # noqa: E402
 from cressrock.lab.collectsim import SIX, CollectSim, Descent, figures, part, turns  # noqa: E402
 from cressrock.lab.zonesim import LOOK_MS, ZoneSim, scenes  # noqa: E402
 from cressrock.lab.zonesim import Scene as Played  # noqa: E402
+from cressrock.zones.evidence import Said, pieces  # noqa: E402
+from cressrock.zones.sums import Sums  # noqa: E402
+from cressrock.zones.terms import Zone, Zones  # noqa: E402
 
 RAW = ROOT / "benchmarks" / "results" / "capacity-collect.jsonl"
 READS = 2.5  # a second of each edge's clients
@@ -143,13 +150,46 @@
     return job, found, time.process_time() - began
 
 
+def remember(job):
+    """Measure what a collector of one zone of so many edges, and a teller, hold in memory."""
+    _, size, seed = job
+    began = time.process_time()
+    of = Zones(zones={n: Zone(region=r, capacity=1e6) for n, r in SIX.items()}, edges=size)
+    peers = [Peer(f"edge-{n:05d}", 1, LOST, True, True, True, False) for n in range(size)]
+    said = [Said(zone, 1, 9, 0, 0, 0, 10.5, 10.5, 9) for zone in SIX]
+    (value,) = pieces(7, said)
+    tracemalloc.start()
+    one = Collect(("m0", 1), Times(), Sums(of), 0.0)
+    one.roster([*peers, Peer("m0", 1, LOST, True, True, False, True)], ["m0"], 0.0)
+    for peer in peers:
+        data = encode(Tell(1, [Entry("zones/0", 1, value)]))
+        one.receive(1.0, peer.name, 1, decode(data))
+    one.tick(300.0)
+    collector = tracemalloc.get_traced_memory()[0]
+    tracemalloc.reset_peak()
+    before = tracemalloc.get_traced_memory()[0]
+    tellers = [Teller(LOST, Times(), random.Random(n), 0.0) for n in range(100)]
+    for teller in tellers:
+        teller.roster([(f"m{n}", 1) for n in range(6)], 0.0)
+        teller.put("zones/0", bytes(value) + b"", 0.0)
+        teller.tick(1000.0)
+    each = (tracemalloc.get_traced_memory()[0] - before) / len(tellers)
+    tracemalloc.stop()
+    return job, {"collector_bytes": float(collector), "teller_bytes": each}, time.process_time() - began
+
+
 UNITS |= {
+    "collector_bytes": ("collector_bytes", "B", "collector"),
+    "teller_bytes": ("teller_bytes", "B", "edge"),
     "decree_way_ms_p99": ("way_ms_p99", "ms", "edge"),
     "decree_way_ms_max": ("way_ms_max", "ms", "edge"),
     "decrees_sent_bytes_s": ("sent_bytes_s", "B/s", "edge"),
 }
 
 
+OTHERS = {"descent": descend, "memory": remember}
+
+
 def day(seeds):
     """Compare what was decreed in a day of 230 edges, the old way and the new."""
     scene = scenes()["a day"]
@@ -173,7 +213,7 @@
     asked = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawTextHelpFormatter)
     asked.add_argument("--sizes", default="230,1024,2048,4800")
     asked.add_argument("--seeds", default="1,2,3")
-    asked.add_argument("--scenes", default=",".join(["descent", *SCENES]))
+    asked.add_argument("--scenes", default=",".join([*OTHERS, *SCENES]))
     asked.add_argument("--processes", type=int, default=2)
     asked.add_argument("--write", action="store_true")
     asked.add_argument("--day", action="store_true")
@@ -193,10 +233,12 @@
         for seed in seeds
     ]
     with ProcessPoolExecutor(given.processes) as pool:
-        large = {size for scene, size, _ in jobs if size > 230 and scene != "descent"}
+        large = {size for scene, size, _ in jobs if size > 230 and scene not in OTHERS}
         ways = dict(zip(sorted(large), pool.map(way, sorted(large)), strict=True))
         runs = [
-            pool.submit(descend, job) if job[0] == "descent" else pool.submit(play, job, ways.get(job[1]))
+            pool.submit(OTHERS[job[0]], job)
+            if job[0] in OTHERS
+            else pool.submit(play, job, ways.get(job[1]))
             for job in jobs
         ]
         for run in runs:
