A view of thousands of members is not made anew at each look

Need: at 4,800 members a view takes 15 ms, and an edge's zones asked for one four times a second: 8 % of a core with what was built from it, twice the target, before any evidence.

Change: the ground keeps a view for fifty times what it took, a second at most (of up to 512 members it is made anew at each change); zones and evidence build theirs from it once.

--- a/cressrock/collect/carrier.py
+++ b/cressrock/collect/carrier.py
@@ -86,6 +86,8 @@
         self._collectors: tuple[Origin, ...] = ()
         self._dumb: tuple[str, ...] = ()
         self._stale = True  # the members changed
+        self._of: tuple[Member, ...] | None = None
+        self._refreshed = now
         self._news = anyio.Event()
 
     # --- what rooms ask
@@ -202,17 +204,23 @@
         """Take the members' view, if it changed."""
         if not self._stale:
             return
-        self._stale = False
+        found = self.members()
+        if found is self._of and now < self._refreshed + self.times.lapse_ms:
+            return  # the view of thousands is not made anew at each change
+        self._of, self._refreshed, self._stale = found, now, False
         there = (State.ALIVE, State.UNSURE)
-        members = [m for m in self.members() if m.state in there]
-        peers = [
-            Peer(m.name, m.life, m.zone, m.state is State.ALIVE, True, m.role == "edge", m.extra == w.CAPABLE)
-            for m in members
-        ]
-        self._collectors = tuple(sorted((p.name, p.life) for p in peers if p.collects))
-        self._dumb = tuple(p.name for p in peers if p.name in self.seats and not p.collects)
-        self.tellers = sum(p.tells for p in peers)
+        members = [m for m in found if m.state in there]
+        self._collectors = tuple(sorted((m.name, m.life) for m in members if m.extra == w.CAPABLE))
+        self._dumb = tuple(m.name for m in members if m.name in self.seats and m.extra != w.CAPABLE)
+        self.tellers = sum(m.role == "edge" for m in members)
         if self.collect is not None:
+            peers = [
+                Peer(
+                    m.name, m.life, m.zone, m.state is State.ALIVE, True, m.role == "edge",
+                    m.extra == w.CAPABLE,
+                )
+                for m in members
+            ]  # fmt: skip
             self.collect.roster(peers, self.seats, now)
 
     def _look(self, now: float) -> None:
--- a/cressrock/ground.py
+++ b/cressrock/ground.py
@@ -37,6 +37,8 @@
 Close = Callable[[], Awaitable[None]]
 Begun = Callable[[Stream, bytes], Coroutine[Any, Any, None]]  # and what was read after the first four bytes
 OVERHEAD = 32  # of an entry in the spread, beside its value
+VIEW_REST, VIEW_MOST_MS = 50.0, 1000.0  # a fiftieth of a core for views of the members, however many they are
+VIEW_FEW = 512  # members of which a view takes under 2 ms
 
 
 class Sockets(Protocol):
@@ -149,6 +151,8 @@
             seats=part.seats if part is not None else (), tells=place.role == "edge", collects=self.collects,
             most=place.fleet.collect_from,
         )  # fmt: skip
+        self._view: tuple[Member, ...] = ()
+        self._view_until = 0.0
         self.fleet: Fleet | None = None
         self.seat: CouncilSeat | None = None
         self.council: Council | None = None
@@ -191,7 +195,7 @@
             fleet = self.fleet = Fleet(settings, identity, world, state, self.source, self.log)
             evidence = self.evidence
             evidence.send, evidence.members, fleet.collected = fleet.tell, self.members, evidence.receive
-            fleet.listeners.append(lambda _event: evidence.changed())
+            fleet.listeners.append(lambda _event: self._members_changed())
             try:
                 if place.council is not None:
                     await self._sit(place.council, tasks)
@@ -320,8 +324,23 @@
         return core is not None and core.role is Role.LEADER
 
     def members(self) -> tuple[Member, ...]:
-        """Return the view of all members, this process among them."""
-        return self.fleet.members.view(self.clock()) if self.fleet is not None else ()
+        """Return the view of all members, this process among them.
+
+        Of thousands a view costs many ms, and several rooms ask a few times a second: it is made anew after
+        `VIEW_REST` times what it took, a second at most; of few members at each change too.
+        """
+        if self.fleet is None:
+            return ()
+        now = self.clock()
+        if now >= self._view_until:
+            self._view = self.fleet.members.view(now)
+            self._view_until = now + min(VIEW_REST * (self.clock() - now), VIEW_MOST_MS)
+        return self._view
+
+    def _members_changed(self) -> None:
+        if len(self._view) <= VIEW_FEW:
+            self._view_until = 0.0
+        self.evidence.changed()
 
     def status(self) -> dict[str, Any]:
         """Return plain values for an admin port: who is there, what stands, what could not be read."""
--- a/cressrock/zones/carrier.py
+++ b/cressrock/zones/carrier.py
@@ -153,6 +153,9 @@
     def __init__(self, settings: Zones, ground: Ground, clock: Callable[[], float]) -> None:
         self.ground, self.clock = ground, clock
         self.all = All(settings)
+        self._of: tuple[Member, ...] | None = None
+        self._who: list[Who] = []
+        self._alive: set[Origin] = set()
         ground.when_spread.append(self.heard)
 
     def heard(self, origin: Origin, key: str) -> None:
@@ -168,12 +171,15 @@
 
     def alive(self) -> list[Who]:
         """Return the members, and forget the words of those who are not surely alive."""
-        members = [
-            Who((m.name, m.life), m.zone, m.state is Life.ALIVE, m.role == "edge")
-            for m in self.ground.members()
-        ]
-        self.all.keep({w.origin for w in members if w.alive})
-        return members
+        found = self.ground.members()
+        if found is not self._of:  # of thousands this is not made anew at each look
+            self._of = found
+            self._who = [
+                Who((m.name, m.life), m.zone, m.state is Life.ALIVE, m.role == "edge") for m in found
+            ]
+            self._alive = {w.origin for w in self._who if w.alive}
+        self.all.keep(self._alive)
+        return self._who
 
 
 class EdgeZones:
