--- a/cressrock/lab/collectsim.py
+++ b/cressrock/lab/collectsim.py
@@ -522,7 +522,7 @@
         "verdict_core": max(mc.cpu_ms.get("verdict", 0.0) for mc in machines) / 1000 / seconds,
         "process_core": sim.teller_cpu_ms / 1000 / seconds / len(sim.edges),
         "at_verdict_ms_p99": part([ms for _, ms in sim.at_verdict], 0.99),
-        "in_force_ms_p99": part(sim.in_force_ms(), 0.99),
+        "in_force_ms_p99": part(sim.in_force_ms(), 0.99) if sim.reached else None,
         "given_up_ms": (min(away) - lost_at) if away and lost_at is not None else None,
         "sound_given_up": len({zone for _, zone in gone if zone != lost}),
         "decrees": len(sim.decrees),
