--- a/cressrock/ground.py
+++ b/cressrock/ground.py
@@ -15,6 +15,8 @@
 from anyio.abc import TaskGroup, TaskStatus
 
 from cressrock import net
+from cressrock.collect import words
+from cressrock.collect.carrier import Evidence
 from cressrock.council import decrees as d
 from cressrock.council.carrier import Council, CouncilSeat, Kept, SeatSettings, in_line, off_loop
 from cressrock.council.line import World as CouncilWorld
@@ -35,6 +37,8 @@
 Close = Callable[[], Awaitable[None]]
 Begun = Callable[[Stream, bytes], Coroutine[Any, Any, None]]  # and what was read after the first four bytes
 OVERHEAD = 32  # of an entry in the spread, beside its value
+VIEW_REST, VIEW_MOST_MS = 50.0, 1000.0  # a fiftieth of a core for views of the members, however many they are
+VIEW_FEW = 512  # members of which a view takes under 2 ms
 
 
 class Sockets(Protocol):
@@ -134,13 +138,25 @@
         source: random.Random,
         log: Any,
         in_thread: bool = True,
+        collects: bool = False,
     ) -> None:
         """`clock` gives monotonic ms.  `in_thread`: a seat's writes leave the loop free (not in simulated
-        time).  Raises StoreNewer for a newer program's `seen_file`.
+        time).  `collects`: it reads evidence, so where it holds a seat it is a collector.  Raises
+        StoreNewer for a newer program's `seen_file`.
         """
         self.place, self.sockets, self.clock, self.wall_ms = place, sockets, clock, wall_ms
         self.source, self.log, self.in_thread = source, log, in_thread
         self.spread = Spread(place.name, place.life, SpreadSettings(), source)
+        part = place.council
+        self.collects = collects and part is not None and part.store is not None
+        self.evidence = Evidence(
+            (place.name, place.life), place.fleet.zone, self.spread, clock=clock,
+            source=random.Random(f"{place.name}/{place.life}/evidence"), log=log,
+            seats=part.seats if part is not None else (), tells=place.role == "edge", collects=self.collects,
+            most=place.fleet.collect_from,
+        )  # fmt: skip
+        self._view: tuple[Member, ...] = ()
+        self._view_until = 0.0
         self.fleet: Fleet | None = None
         self.seat: CouncilSeat | None = None
         self.council: Council | None = None
@@ -168,8 +184,9 @@
             )
             self.addresses["fleet"] = bound
             identity = Identity(
-                place.name, place.life, part.advertise or bound, place.role, part.zone, part.region
-            )
+                place.name, place.life, part.advertise or bound, place.role, part.zone, part.region,
+                words.CAPABLE if self.collects else b"",
+            )  # fmt: skip
             settings = FleetSettings(
                 seeds=tuple(part.seeds),
                 routes=part.routes,
@@ -182,10 +199,14 @@
             world = FleetWorld(datagrams, self.sockets.connect, self.clock)
             state = _Telling(self.spread, self._merged)
             fleet = self.fleet = Fleet(settings, identity, world, state, self.source, self.log)
+            evidence = self.evidence
+            evidence.send, evidence.members, fleet.collected = fleet.tell, self.members, evidence.receive
+            fleet.listeners.append(lambda _event: self._members_changed())
             try:
                 if place.council is not None:
                     await self._sit(place.council, tasks)
                 tasks.start_soon(fleet.run)
+                tasks.start_soon(evidence.run)
                 task_status.started()
                 await self._asking()
             finally:
@@ -311,8 +332,23 @@
         return core is not None and core.role is Role.LEADER
 
     def members(self) -> tuple[Member, ...]:
-        """Return the view of all members, this process among them."""
-        return self.fleet.members.view(self.clock()) if self.fleet is not None else ()
+        """Return the view of all members, this process among them.
+
+        Of thousands a view costs many ms, and several rooms ask a few times a second: it is made anew after
+        `VIEW_REST` times what it took, a second at most; of few members at each change too.
+        """
+        if self.fleet is None:
+            return ()
+        now = self.clock()
+        if now >= self._view_until:
+            self._view = self.fleet.members.view(now)
+            self._view_until = now + min(VIEW_REST * (self.clock() - now), VIEW_MOST_MS)
+        return self._view
+
+    def _members_changed(self) -> None:
+        if len(self._view) <= VIEW_FEW:
+            self._view_until = 0.0
+        self.evidence.changed()
 
     def status(self) -> dict[str, Any]:
         """Return plain values for an admin port: who is there, what stands, what could not be read."""
@@ -336,6 +372,7 @@
             ],
             "dropped": dict(self.fleet.dropped) if self.fleet is not None else {},
             "spread_bytes": self.spread.size(),
+            "evidence": self.evidence.status(),
             "decrees": decrees,
             "seat": self.seat.status() if self.seat is not None else None,
             "unkept": self.kept.unkept,
--- a/cressrock/lab/hollow_turns.py
+++ b/cressrock/lab/hollow_turns.py
@@ -17,8 +17,9 @@
 from cressrock.lab.hollow_shared import acquaint, fill
 from cressrock.rollout import evidence as rollout
 from cressrock.zones import evidence as zones
+from cressrock.zones.sums import Who
 from cressrock.zones.terms import Zone, Zones
-from cressrock.zones.verdict import Memory, Who, judge
+from cressrock.zones.verdict import Memory, judge
 
 Timer = Callable[[], float]  # seconds of processor time
 WORD = "zones/0"
--- a/cressrock/lab/localcost_requests.py
+++ b/cressrock/lab/localcost_requests.py
@@ -84,6 +84,9 @@
     def stop(self) -> None:
         """Attempts are not given up here."""
 
+    def abandon(self) -> None:
+        """No client leaves here."""
+
     # --- requests
 
     def take(self, volume: int, shard: int) -> None:
--- a/tests/test_capacity_small.py
+++ b/tests/test_capacity_small.py
@@ -92,6 +92,10 @@
         def __init__(self):
             self.spread = hollow_turns.spread_of(30)
             self.spread.get = lambda key: pytest.fail("looked at everybody")
+            self.evidence, self.collected = self, []
+
+        def heard(self, origin, key, value):
+            self.collected.append((origin, key))
 
     ground = Ground()
     heard = zones_carrier._Evidence(hollow_turns.zones_of(30), ground, lambda: 0.0)
@@ -99,6 +103,7 @@
         heard.heard(origin, hollow_turns.WORD)
         heard.heard(origin, "decree/zones")
     assert len(heard.all.beats()) == 7
+    assert ground.collected == [(o, hollow_turns.WORD) for o in list(ground.spread._states)[:7]]
     ground.spread.merge(removed(ground.spread, "edge-0003"))
     heard.heard(("edge-0003", hollow_turns.FIRST_LIFE + 3), hollow_turns.WORD)
     assert heard.all.words(0.0)[("edge-0003", hollow_turns.FIRST_LIFE + 3)] == {}
