--- a/cressrock/lab/localcost_rows.py
+++ b/cressrock/lab/localcost_rows.py
@@ -248,7 +248,9 @@
         "{hollow.members.sent_bytes_s@61} bytes in {hollow.members.sent_datagrams_s@61} datagrams, their "
         "exchanges among them, which are streams of the real ones, and take {hollow.members.cpu_ms_s@61} ms: "
         "loop, sockets, list and link are not in them. A planner with a seat takes "
-        "{real.planner.cpu_ms_s@61} ms a second.",
+        "{real.planner.cpu_ms_s@20} ms a second at 20 edges and {real.planner.cpu_ms_s@85} at 85, and sends "
+        "{real.planner.sent_bytes_s@20} and {real.planner.sent_bytes_s@85} bytes, which grows; why was not "
+        "looked into.",
     ),
 )
 
