--- a/cressrock/lab/platform.py
+++ b/cressrock/lab/platform.py
@@ -134,7 +134,7 @@
                 target = head.split(b" ")[1].decode()
                 query = dict(pair.split("=") for pair in target.partition("?")[2].split("&") if pair)
                 value = self.whole() if "after" not in query else await self._after(query)
-                body = json.dumps(value, indent=2).encode()
+                body = value if isinstance(value, bytes) else json.dumps(value, indent=2).encode()
                 if writer in self.silent:
                     continue
                 whole = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
@@ -150,7 +150,7 @@
             self.silent.discard(writer)
             writer.close()
 
-    async def _after(self, query: dict[str, str]) -> dict[str, Any]:
+    async def _after(self, query: dict[str, str]) -> dict[str, Any] | bytes:
         after, wait = int(query["after"]), int(query.get("wait_ms", 0))
         if self.version <= after and wait:
             try:
--- a/cressrock/platform/watch.py
+++ b/cressrock/platform/watch.py
@@ -107,7 +107,7 @@
                     self._answer(call, channel, await self._get(channel, call, address))
         except (Gone, TooLarge, h11.RemoteProtocolError, *BROKEN) as failed:
             self._failed(call, address, str(failed) or type(failed).__name__)
-        except (ValueError, ListError) as failed:
+        except (ValueError, ListError, RecursionError) as failed:
             self._failed(call, address, f"unusable answer: {failed}")
         finally:
             del self._scopes[call.number]
@@ -115,7 +115,7 @@
                 await channel.close()
 
     def _answer(self, call: Call, channel: Channel, body: bytes) -> None:
-        """Take an answer in.  Raises ValueError and ListError where it cannot be used."""
+        """Take an answer in.  Raises ValueError, ListError and RecursionError where it cannot be used."""
         value = json.loads(body)
         if call.number not in self.pace.out:
             return  # Danger: taken in behind another's answer or at a new address, it would undo news.
--- a/tests/test_platform_watch.py
+++ b/tests/test_platform_watch.py
@@ -143,7 +143,19 @@
     discovery._after = whole
 
 
-@pytest.mark.parametrize("disorder", [busy, resetting, refused, silent_twice, silent_then_busy, spoilt])
+async def nested(discovery, watch, until):
+    """An answer nested deeper than can be read would end the process, if nobody took that for a failure."""
+    whole = discovery._after
+    discovery._after = lambda query: asyncio.sleep(0, b"[" * 200_000)
+    discovery.put("s8", "127.0.0.1:1", 1)
+    await until(lambda: watch.failed >= 2)
+    discovery._after = whole
+
+
+DISORDERS = [busy, resetting, refused, silent_twice, silent_then_busy, spoilt, nested]
+
+
+@pytest.mark.parametrize("disorder", DISORDERS)
 def test_a_drain_told_behind_calls_that_failed_is_heard_without_the_schedulers_asking(monkeypatch, disorder):
     """Danger: its pause after a failure may be 7.5 s, and the drain counts as told after 6."""
     if disorder in (silent_twice, silent_then_busy):
