--- a/benchmarks/collect.py
+++ b/benchmarks/collect.py
@@ -196,6 +196,7 @@
     for seed in seeds:
         both = []
         for sim in (ZoneSim(seed), CollectSim(seed)):
+            sim.clients = random.Random(f"{seed} clients")  # the same reads at the same edges in both
             sim.run(scene)
             both.append(turns(sim))
             print(f"seed {seed} {type(sim).__name__}: service {sim.service(*scene.window):.3f}")
--- a/cressrock/lab/zonesim.py
+++ b/cressrock/lab/zonesim.py
@@ -174,6 +174,7 @@
         """`load` is of all zones' capacity; `policy`: decided, none, at once; `places`: zone -> region."""
         self.places, self._places = dict(places), sorted(places)
         self.random = random.Random(f"{seed} zones")
+        self.clients = self.random  # draws what clients ask; one of its own where two runs are compared
         self.policy, self.hold_ms = policy, hold_ms
         self.settings = Zones(
             zones={name: Zone(region=region, capacity=capacity) for name, region in places.items()},
@@ -288,14 +289,15 @@
         self.after(1000.0, self._second)
 
     def _arrive(self) -> None:
-        self.after(self.random.expovariate(self.rate) * 1000, self._arrive)
-        edge = self._living[bisect(self._cum, self.random.random() * self._cum[-1])]
+        draw = self.clients
+        self.after(draw.expovariate(self.rate) * 1000, self._arrive)
+        edge = self._living[bisect(self._cum, draw.random() * self._cum[-1])]
         self.asked[int(self.now // 1000)] += 1
         # Some volumes have copies in one region only; for edges elsewhere its first zone is their nearest.
-        far = self.random.random() < FAR
+        far = draw.random() < FAR
         zones = FAR_ZONES if far else self._places
         home = FAR_ZONES[0] if far and edge.place not in FAR_ZONES else edge.place
-        self._ask(edge, zones, home, self.now, self.random.random() < 0.1, self.random.random(), False)
+        self._ask(edge, zones, home, self.now, draw.random() < 0.1, draw.random(), False)
 
     def _ask(
         self, edge: Edge, zones: list[str], home: str, begun: float, reserved: bool, shard: float, again: bool
