--- a/cressrock/lab/capacity_page.py
+++ b/cressrock/lab/capacity_page.py
@@ -69,7 +69,8 @@
         "control at most 2 KB a second",
         "members {members.calm.sent_bytes_s} B/s; with a spread in which nothing is written "
         "{spread.quiet.sent_bytes_s}; with eight decrees renewed {spread.beats.sent_bytes_s}; evidence by "
-        "collectors {collect.calm.sent_bytes_s}, as a zone is lost {collect.zone.sent_bytes_s} (by the spread "
+        "collectors {collect.calm.sent_bytes_s}, as a zone is lost {collect.zone.sent_bytes_s} (by the "
+        "spread "
         "{spread.evidence.sent_bytes_s@230} at 230, {spread.evidence.sent_bytes_s@1024} at 1,024)",
         "digests less often in calm; renewals that do not name every decree",
         "first now",
@@ -176,8 +177,8 @@
         "as in the busiest minute",
         "{spread.evidence.cpu@230} % of a core at 230, {spread.evidence.cpu@1024} at 1,024; at the size "
         "{turn.zones.edge*0.4} for its own look each 250 ms",
-        "of few the `spread`, from everybody to everybody, `zones.tells` 40 a second; of more than about thirty "
-        "`collect`, below",
+        "of few the `spread`, from everybody to everybody, `zones.tells` 40 a second; of more than about "
+        "thirty `collect`, below",
         f"{CARRIED} by collectors; by the spread {NOT} at the size",
     ),
     Line(
@@ -222,8 +223,9 @@
         "none",
         "none",
         "one decree",
-        "{turn.zones.leader} ms each 250 ms: {turn.zones.leader*0.4} % of a core",
-        "`zones/verdict` over words; over collectors' sums {collect.zone.verdict_core*100} % of a core",
+        "over collectors' sums {collect.zone.verdict_core*100} % of a core; over everybody's words "
+        "{turn.zones.leader} ms each 250 ms: {turn.zones.leader*0.4} %",
+        "`zones/verdict`, a view of words or of sums",
         f"{CARRIED} over sums; over everybody's words the loop stands still meanwhile",
     ),
     Line(
