How long a view of the members counts is decided in a pure part, with a test

Seen: by rereading the merged change, two figures and a choice stood in ground.py, a carrier: the rest between views of thousands of members.

--- a/cressrock/ground.py
+++ b/cressrock/ground.py
@@ -29,6 +29,7 @@
 from cressrock.fleet.members import Identity, Member, MembersSettings
 from cressrock.fleet.rounds import RoundsSettings
 from cressrock.fleet.spread import Origin, Spread, SpreadSettings
+from cressrock.fleet.viewing import Viewing
 from cressrock.http.channel import BROKEN, Stream
 from cressrock.settings.types import CouncilSettings
 from cressrock.settings.types import Fleet as FleetPart
@@ -37,8 +38,6 @@
 Close = Callable[[], Awaitable[None]]
 Begun = Callable[[Stream, bytes], Coroutine[Any, Any, None]]  # and what was read after the first four bytes
 OVERHEAD = 32  # of an entry in the spread, beside its value
-VIEW_REST, VIEW_MOST_MS = 50.0, 1000.0  # a fiftieth of a core for views of the members, however many they are
-VIEW_FEW = 512  # members of which a view takes under 2 ms
 
 
 class Sockets(Protocol):
@@ -155,8 +154,7 @@
             seats=part.seats if part is not None else (), tells=place.role == "edge", collects=self.collects,
             most=place.fleet.collect_from,
         )  # fmt: skip
-        self._view: tuple[Member, ...] = ()
-        self._view_until = 0.0
+        self._viewing = Viewing()
         self.fleet: Fleet | None = None
         self.seat: CouncilSeat | None = None
         self.council: Council | None = None
@@ -332,22 +330,16 @@
         return core is not None and core.role is Role.LEADER
 
     def members(self) -> tuple[Member, ...]:
-        """Return the view of all members, this process among them.
-
-        Of thousands a view costs many ms, and several rooms ask a few times a second: it is made anew after
-        `VIEW_REST` times what it took, a second at most; of few members at each change too.
-        """
+        """Return the view of all members, this process among them; of thousands it may be a second old."""
         if self.fleet is None:
             return ()
         now = self.clock()
-        if now >= self._view_until:
-            self._view = self.fleet.members.view(now)
-            self._view_until = now + min(VIEW_REST * (self.clock() - now), VIEW_MOST_MS)
-        return self._view
+        if self._viewing.due(now):
+            self._viewing.made(self.fleet.members.view(now), now, self.clock())
+        return self._viewing.view
 
     def _members_changed(self) -> None:
-        if len(self._view) <= VIEW_FEW:
-            self._view_until = 0.0
+        self._viewing.changed()
         self.evidence.changed()
 
     def status(self) -> dict[str, Any]:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -22,6 +22,7 @@
     Unsure,
 )
 from cressrock.fleet.messages import About, Claim, State
+from cressrock.fleet.viewing import FEW, MOST_MS, Viewing
 from cressrock.lab.fleetsim import FleetSim
 
 SEED = 7
@@ -395,3 +396,17 @@
         sim.run(9000)
         runs.append(([(w, o, repr(e)) for w, o, e in sim.events], [h.bytes for h in hosts]))
     assert runs[0] == runs[1]
+
+
+def test_a_view_rests_for_many_times_what_it_took_and_of_few_until_they_change():
+    """Danger: views of thousands, made for each room that looks, take most of a core."""
+    few, many = (None,) * FEW, (None,) * (FEW + 1)
+    for view, changes_count in ((few, True), (many, False)):
+        held = Viewing()
+        assert held.due(0.0)
+        held.made(view, 100.0, 104.0)
+        assert held.view is view and not held.due(299.9) and held.due(300.0)
+        held.changed()
+        assert held.due(101.0) is changes_count
+    held.made(many, 1000.0, 1000.0 + MOST_MS)
+    assert held.due(1000.0 + MOST_MS)
