--- a/cressrock/fleet/viewing.py
+++ b/cressrock/fleet/viewing.py
@@ -1,8 +1,8 @@
 """How long a view of the members counts before it is made anew.  Pure.
 
 Of thousands a view costs many milliseconds, and several rooms ask for one a few times a second.  So it rests
-for a multiple of what it took to make, which bounds its part of a core at any size; of few members, where that
-is next to nothing, it is made anew at each change besides.
+for a multiple of what it took to make, which bounds its part of a core at any size; of few members, where
+that is next to nothing, it is made anew at each change besides.
 """
 
 from __future__ import annotations
