--- a/review/1/case.py
+++ b/review/1/case.py
@@ -50,7 +50,7 @@
         return s.answer(b"saved for " + words[2])
 
 
-async def warm_up(dispatcher):
+async def warm_up(dispatcher, record):
     """Read from each server until all know each other."""
     client = await s.Client(dispatcher).connect()
     for number in range(10 * SERVERS):
@@ -58,6 +58,7 @@
         reply = await client.ask(s.encode("IO.IN", PIECE, f"{number:016x}", names))
         if reply is None or reply[0] != "served":
             raise RuntimeError(f"a read before the trouble was answered {reply}")
+        record(f"client B is answered {reply} to {number:016x}")
         await asyncio.sleep(0.02)
     return client
 
@@ -77,8 +78,13 @@
     )
     dispatcher = s.Dispatcher(discovery, settings)
     try:
+        record(
+            f"settings: class scrittura is guarded, key_scope all, repeat_window_ms {WINDOW_MS}, "
+            f"give_up_ms {GIVE_UP_MS}; class lettura is free; second_copies false; {SERVERS} storage servers"
+        )
+        record(f"the servers drop a repeat of a key for {WINDOW_MS + SLACK_MS} ms behind the first to arrive")
         await dispatcher.start()
-        reader = await warm_up(dispatcher)
+        reader = await warm_up(dispatcher, record)
         writer = await s.Client(dispatcher).connect()
         loop = asyncio.get_running_loop()
         sent_at = record.ms()
