--- a/cressrock/dispatch/transport.py
+++ b/cressrock/dispatch/transport.py
@@ -86,6 +86,10 @@
 class Call(Protocol):
     """One attempt, as the driver passes it to the transport."""
 
+    @property
+    def name(self) -> str:
+        """The driver's name for the request."""
+
     @property
     def op(self) -> Any:
         """The request, in the transport's own type."""
--- a/cressrock/failover/attempt_observer.py
+++ b/cressrock/failover/attempt_observer.py
@@ -19,6 +19,10 @@
     def __init__(self, call: Call, observer: Observer) -> None:
         self.call, self.observer = call, observer
 
+    @property
+    def name(self) -> str:
+        return self.call.name
+
     @property
     def op(self) -> Any:
         """Return the operation of the wrapped call."""
--- a/cressrock/platform/program.py
+++ b/cressrock/platform/program.py
@@ -201,7 +201,8 @@
             clock,
             log=lambda text: self.log(text, "memory"),
         )
-        self.transport.on_unsent = self.front.admission.account.change
+        self.transport.on_held = self.front.admission.change_held
+        self.front.admission.limit_reading = self._limit_reading
         pushed_grace_ms = 0.0 if settings.must_ask else settings.drain_grace_ms + SOCKET_SLACK_MS
         self.watch = Watch(
             self.servers,
@@ -275,6 +276,10 @@
                 listener.close()
             tasks.cancel_scope.cancel()
 
+    def _limit_reading(self, names: frozenset[str] | None) -> None:
+        """Read answers for the requests with these names only; None for all."""
+        self.transport.limit_reading(None if names is None else lambda call: call.name in names)
+
     def _bound_memory(self) -> None:
         """Bound what is held for clients by the memory that this process does not need itself."""
         limit_bytes = int(self.config.memory_mb * MIB)
@@ -296,7 +301,7 @@
         stop = StopSchedule(clock(), max(cls.deadline_ms for cls in self.config.settings.classes))
         self.log(f"stopping with {self.front.open_request_count()} open requests")
         self._report()
-        self.front.set_answer_deadline(stop.answer_by_ms)
+        self.front.set_answer_deadline(stop.answer_by_ms, stop.refuse_at_ms)
         await asyncio.sleep(max(0.0, stop.unlisten_at_ms - clock()) / 1000)
         await self._unlisten(listener, stop.answer_by_ms)
         while not self.front.all_closed() and clock() < stop.answer_by_ms:
@@ -389,6 +394,7 @@
             f"held_limit={admission.account.bounds.total_bytes} waiting={admission.waiting_count} "
             f"delayed={admission.counts.delayed} paused={admission.counts.paused} "
             f"no_room={admission.counts.refused} shed={admission.counts.shed} "
+            f"limited={admission.counts.limited} "
             f"outcomes={dict(observer.outcomes)} answers={dict(observer.answers)} "
             f"reasons={dict(observer.reasons)}",
             "state",
--- a/cressrock/resp/connection_pool.py
+++ b/cressrock/resp/connection_pool.py
@@ -58,7 +58,8 @@
         "has_answered",
         "idle_since",
         "has_unsent",
-        "unsent_bytes",
+        "held_bytes",
+        "is_paused",
         "is_lost",
     )
 
@@ -73,7 +74,8 @@
         self.has_answered = False  # it has received an answer
         self.idle_since = 0.0
         self.has_unsent = False  # part of the request is still in the write buffer
-        self.unsent_bytes = 0  # of that part, as accounted for
+        self.held_bytes = 0  # of that part and of an incomplete answer, as accounted for
+        self.is_paused = False  # an answer is not read on, since there is no memory for it
         self.is_lost = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -89,15 +91,35 @@
 
     def pause_writing(self) -> None:
         self.has_unsent = True
-        self._set_unsent(self.transport.get_write_buffer_size())
+        self.update_held()
 
-    def _set_unsent(self, unsent_bytes: int) -> None:
-        self.pool.on_unsent(unsent_bytes - self.unsent_bytes)
-        self.unsent_bytes = unsent_bytes
+    def update_held(self) -> None:
+        """Account for what the process holds of a request that is not sent, or of an incomplete answer."""
+        held_bytes = self.parser.buffered_bytes
+        if self.has_unsent:
+            held_bytes += self.transport.get_write_buffer_size()
+        if self.is_lost:
+            held_bytes = 0
+        if held_bytes != self.held_bytes:
+            delta_bytes, self.held_bytes = held_bytes - self.held_bytes, held_bytes
+            self.pool.on_held(delta_bytes)
+
+    def set_paused(self, is_paused: bool) -> None:
+        """Stop or resume reading an answer."""
+        if is_paused == self.is_paused or self.transport.is_closing():
+            return
+        self.is_paused = is_paused
+        if is_paused:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+            if self.attempt is not None and self.attempt.progress is not None:
+                self.attempt.progress.resume(self.pool.clock())
+                self.pool._schedule_check(self.attempt)
 
     def resume_writing(self) -> None:
         self.has_unsent = False
-        self._set_unsent(0)
+        self.update_held()
         if self.attempt is not None:
             self.attempt.leave_by = _NEVER
 
@@ -120,7 +142,10 @@
             return
         if reply is None:
             self.pool._track_progress(attempt, self.parser)
+            self.update_held()
             return
+        if self.held_bytes:
+            self.update_held()
         outcome, value, text = parse_outcome(reply[0])
         used, cost = parse_load(reply[0])
         self.attempt = None
@@ -163,7 +188,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_lost = True
-        self._set_unsent(0)
+        self.update_held()
         attempt = self.attempt
         self.pool._remove(self)
         if attempt is not None:
@@ -229,7 +254,10 @@
 
     def next_check_at(self) -> float:
         """Return when `pool._check` must be called for it next."""
-        progress_check_at = _NEVER if self.progress is None else self.progress.next_check_at()
+        is_paused = self.connection is not None and self.connection.is_paused
+        progress_check_at = _NEVER
+        if self.progress is not None and not is_paused:
+            progress_check_at = self.progress.next_check_at()
         awaited = self.awaited
         ready_at = _NEVER if awaited is None else self.pool.reuse_delay.ready_at(awaited.idle_since)
         return min(self.deadline, self.leave_by, self.queued_until, progress_check_at, ready_at)
@@ -292,8 +320,10 @@
         self.bounds = bounds
         self.clock = clock
         self.resolve_address = resolve_address
-        # Receives changes in the number of bytes that wait in the process to be sent to servers.
-        self.on_unsent: Callable[[int], None] = lambda _: None
+        # Receives changes in the number of bytes that are held of unsent requests and incomplete answers.
+        self.on_held: Callable[[int], None] = lambda _: None
+        # While not None, only the answers to the attempts for which it returns True are read.
+        self.may_read: Callable[[Call], bool] | None = None
         self.reuse_delay = ReuseDelay(bounds.stall_ms)
         self.idle_connections: dict[str, OrderedDict[_Connection, None]] = {}
         self.open_connections: dict[_Connection, None] = {}
@@ -410,6 +440,18 @@
             if not self.idle_connections.get(node):
                 self.idle_connections.pop(node, None)
 
+    def limit_reading(self, may_read: Callable[[Call], bool] | None) -> None:
+        """Read answers only for the attempts for which `may_read` returns True; with None, read all."""
+        self.may_read = may_read
+        for connection in self.open_connections:
+            self._pace_reading(connection)
+
+    def _pace_reading(self, connection: _Connection) -> None:
+        attempt = connection.attempt
+        connection.set_paused(
+            self.may_read is not None and attempt is not None and not self.may_read(attempt.call)
+        )
+
     # --- connections
 
     def _take_idle(self, node: str) -> _Connection | None:
@@ -503,6 +545,8 @@
             connection.has_unsent = True
         elif not connection.has_unsent:
             attempt.leave_by = _NEVER
+        if self.may_read is not None:
+            self._pace_reading(connection)
 
     def _release(self, connection: _Connection) -> None:
         """Add a connection to the idle ones; its idle time starts now."""
@@ -629,6 +673,7 @@
             self._write_to_awaited(attempt)
         elif (
             attempt.progress is not None
+            and not (connection is not None and connection.is_paused)
             and now >= attempt.progress.next_check_at()
             and attempt.progress.is_broken(now)
         ):
--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -113,10 +113,13 @@
                     client.transport.write(codec.error("ERR Protocol error: half a command"))
                 client.end()
 
-    def set_answer_deadline(self, answers_due_at: float) -> None:
-        """Go on accepting requests, but limit their deadlines to `answers_due_at` on the driver's clock."""
+    def set_answer_deadline(self, answers_due_at: float, refuse_at: float) -> None:
+        """Go on accepting requests, but limit their deadlines to `answers_due_at` on the driver's clock.
+
+        From `refuse_at` on, what there is no memory for is refused instead of waiting.
+        """
         self.answers_due_at = answers_due_at
-        self.admission.is_stopping = True
+        self.admission.refuse_all_at = refuse_at
 
     def close_idle(self) -> None:
         """End each connection once it is idle; commands received before that are still served."""
@@ -324,6 +327,7 @@
     def _answer(self, client: ClientConnection, pending: PendingAnswer, result: Any) -> None:
         self.finish(client, pending, result)
         client.flush()
+        self.admission.check_bound()
 
     def finish(self, client: ClientConnection, pending: PendingAnswer, result: Any) -> None:
         """Set the answer to a request; the caller flushes the connection."""
--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -47,6 +47,7 @@
     paused: int = 0  # connections not read on
     refused: int = 0  # requests never admitted
     shed: int = 0  # open requests rejected
+    limited: int = 0  # times when answers were larger than expected, and most were not read on
 
 
 class WaitingRequests:
@@ -79,7 +80,12 @@
         submit: Callable[[ClientConnection, PendingAnswer, Request], None],
         log: Callable[[str], None],
     ) -> None:
-        """`submit` passes an admitted request to the driver; `log` takes a line for the on-call staff."""
+        """`submit` passes an admitted request to the driver; `log` takes a line for the on-call staff.
+
+        `limit_reading`, which the owner may set, gets the names of the requests whose answers may be read
+        while more is held than the bound, and None once all may be read again.
+        """
+        self.limit_reading: Callable[[frozenset[str] | None], None] = lambda _: None
         self.account = MemoryAccount(bounds)
         self.driver = driver
         self.clock = clock
@@ -90,10 +96,11 @@
         self.rate = ServiceRate()
         self.counts = AdmissionCounts()
         self.waiting_count = 0
-        self.is_stopping = False  # the process is about to end
+        self.refuse_all_at = INFINITE_MS  # set while the process ends
         self.is_refusing = False  # nothing waits any more: what there is no room for is refused
         self._waiting: dict[ClientConnection, None] = {}  # whose turn is next comes first
         self._open: dict[PendingAnswer, ClientConnection] = {}  # admitted and unanswered, oldest first
+        self._is_limited = False  # answers are read for some requests only
         self._is_turn_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
         self._checked_at = 0.0
@@ -211,7 +218,7 @@
 
     def on_release(self) -> None:
         """Give released memory to those that wait, later in this iteration of the event loop."""
-        if self._waiting and not self._is_turn_scheduled:
+        if (self._waiting or self._is_limited) and not self._is_turn_scheduled:
             self._is_turn_scheduled = True
             asyncio.get_running_loop().call_soon(self._take_turns)
 
@@ -221,15 +228,15 @@
                 f"memory is short: {self.account.held_bytes} of {self.account.bounds.max_bytes} bytes held; "
                 "requests wait, connections with long commands are not read on"
             )
-        if self._timer is None:
-            self._checked_at = self.clock()
-            self._schedule_check()
+        self._start_checks()
         self._short_at = self.clock()
         self._waiting.setdefault(client)
 
     def _take_turns(self) -> None:
         """Admit one request of each connection in turn, until there is no room for any."""
         self._is_turn_scheduled = False
+        if self._is_limited:
+            self._limit_answers()
         has_admitted = True
         while has_admitted and self._waiting:
             has_admitted = False
@@ -259,8 +266,45 @@
         client.resume_reading()
         return True
 
+    # --- answers larger than expected
+
+    def change_held(self, delta_bytes: int) -> None:
+        """Account for what is held of requests and answers on connections to servers."""
+        self.account.change(delta_bytes)
+        if delta_bytes < 0:
+            self.on_release()
+        else:
+            self.check_bound()
+
+    def check_bound(self) -> None:
+        """Limit the reading of answers if more is held than the bound: they are larger than expected."""
+        if self.account.is_over() and not self._is_limited:
+            self._is_limited = True
+            self.counts.limited += 1
+            self.log("memory is over its bound: answers are read for the oldest request of each client only")
+            self._limit_answers()
+            self._start_checks()
+
+    def _limit_answers(self) -> None:
+        """Read only what can leave at once, until no more is held than the bound."""
+        self._is_limited = self.account.is_over()
+        if not self._is_limited:
+            self.limit_reading(None)
+            return
+        names = [
+            client.queue[0].name
+            for client in set(self._open.values())
+            if client.queue and client.blocked_since is None
+        ]
+        self.limit_reading(frozenset(names))
+
     # --- time limits
 
+    def _start_checks(self) -> None:
+        if self._timer is None:
+            self._checked_at = self.clock()
+            self._schedule_check()
+
     def _schedule_check(self) -> None:
         if self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(CHECK_INTERVAL_S, self._check)
@@ -270,8 +314,9 @@
         now = self.clock()
         self.rate.end_interval(now - self._checked_at)
         self._checked_at = now
-        if self._is_behind(now):
-            self._shed_stuck(now)
+        is_behind = self._is_behind(now)
+        if is_behind or self._is_limited:
+            self._shed_stuck(now, only_oldest=not is_behind)
         for client in list(self._waiting):
             self._refuse_due(client)
             if self._input_wait(client, now) > MAX_PAUSE_FRACTION:
@@ -279,11 +324,15 @@
             if client.waiting.is_empty():
                 self._waiting.pop(client, None)
         self.on_release()
-        if self._waiting:
+        if self._waiting or self._is_limited:
             self._schedule_check()
 
     def _is_due(self, pending: PendingAnswer) -> bool:
-        return self.clock() + REFUSAL_LEAD_MS >= pending.deadline
+        return self.clock() >= self._refused_at_ms(pending)
+
+    def _refused_at_ms(self, pending: PendingAnswer) -> float:
+        """Return when a request is refused if there is no room for it until then."""
+        return min(pending.deadline - REFUSAL_LEAD_MS, self.refuse_all_at)
 
     def _refuse_due(self, client: ClientConnection) -> None:
         due = [pending for pending in client.waiting.requests if self.is_refusing or self._is_due(pending)]
@@ -314,23 +363,26 @@
     def _is_behind(self, now: float) -> bool:
         """Return whether what waits can hardly be served in time."""
         # How much more input the kernel holds is not known, so its time is compared with a fixed part.
-        max_wait = 0.0 if self.is_stopping else LONG_PAUSE_FRACTION
+        max_wait = LONG_PAUSE_FRACTION if self.refuse_all_at == INFINITE_MS else 0.0
         if any(self._input_wait(client, now) > max_wait for client in self._waiting):
             return True
-        deadlines = [
-            client.waiting.requests[0].deadline for client in self._waiting if client.waiting.requests
-        ]
-        if not deadlines:
+        waiting = [client for client in self._waiting if client.waiting.requests]
+        if not waiting:
             return False
-        return self.rate.is_behind(self.waiting_count, min(deadlines) - REFUSAL_LEAD_MS - now)
+        remaining_ms = min(self._refused_at_ms(client.waiting.requests[0]) for client in waiting) - now
+        return self.rate.is_behind(self.waiting_count, remaining_ms)
 
-    def _shed_stuck(self, now: float) -> None:
-        """Reject open requests that have waited for an answer much longer than others had to."""
+    def _shed_stuck(self, now: float, *, only_oldest: bool) -> None:
+        """Reject open requests that have waited for an answer much longer than others had to.
+
+        With `only_oldest`, only those that other answers of their connection wait behind.
+        """
         admitted_before, shed = now - self.rate.stuck_after_ms(), 0
-        for pending in list(self._open):
+        for pending, client in list(self._open.items()):
             if pending.admitted_at > admitted_before:
                 break
-            shed += self.driver.shed(pending.name)
+            if not only_oldest or client.queue[0] is pending:
+                shed += self.driver.shed(pending.name)
         if shed:
             if now - self._shed_at > LOG_PAUSE_MS:
                 self.log(f"memory is short: {shed} requests that wait for servers were rejected")
--- a/cressrock/resp/reply_progress.py
+++ b/cressrock/resp/reply_progress.py
@@ -45,6 +45,11 @@
         elif expected_bytes != self.expected_bytes:
             self.expected_bytes = 0
 
+    def resume(self, now: float) -> None:
+        """Go on after a pause in which this side did not read; the rate so far says nothing of the server."""
+        self.last_data_at = now
+        self.check_at = self.deadline
+
     def next_check_at(self) -> float:
         """Return when `is_broken` must be called next."""
         return min(self.last_data_at + self.stall_ms, self.check_at)
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -184,6 +184,32 @@
         assert account.highest_bytes <= account.bounds.total_bytes + SMALL_INPUT_BYTES
 
 
+@async_test
+async def test_answers_larger_than_expected_stay_with_their_servers():
+    """Regression: room is set aside for answers as large as earlier ones, and larger ones had no bound."""
+    servers = Servers()
+    async with running_program(servers.slow, servers.quick) as s:
+        account = bound_memory(s, 3 * MIB)
+        admission = s.program.front.admission
+        admission.answer_sizes._sizes = [64.0, 64.0]
+        client = await s.client()
+        client.parser = codec.ReplyParser(1 << 20)
+        numbers = range(1, 61)
+        # A keyed write that may have run cannot be rejected to let the others go on.
+        client.send(write(1, b"x"), *(read(number, shard=1) for number in numbers[1:]))
+        await s.until(lambda: admission.counts.limited)
+        assert not admission.waiting_count
+        await asyncio.sleep(0.3)  # the answers are with the kernel now
+        # What one iteration of the loop has read already is not held up.
+        assert account.highest_bytes <= account.bounds.total_bytes + 4 * len(VALUE)
+        assert any(connection.is_paused for connection in s.program.transport.open_connections)
+        servers.answer_withheld(s)
+        for number in numbers:
+            assert await client.reply() == request_id(number) + VALUE
+        assert s.program.transport.may_read is None
+        assert s.program.transport.invalid_answer_count == 0
+
+
 PLAYS = [
     MemoryPlay(96, 18, Requests.READS, Trouble.HANG),
     MemoryPlay(32, 40, Requests.READS, Trouble.HANG),
