--- a/cressrock/resp/client_connection.py
+++ b/cressrock/resp/client_connection.py
@@ -249,6 +249,11 @@
             return False
         return True
 
+    def turns_left(self) -> float:
+        """Return how many times what waits for room is as much as what is open or answered."""
+        waiting_count = len(self.waiting.requests)
+        return waiting_count / max(1, len(self.queue) - waiting_count)
+
     def is_flushed(self) -> bool:
         """Return whether the kernel has taken everything that was written."""
         return not self.transport.get_write_buffer_size()
--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -370,7 +370,12 @@
         if not waiting:
             return False
         remaining_ms = min(self._refused_at_ms(client.waiting.requests[0]) for client in waiting) - now
-        return self.rate.is_behind(self.waiting_count, remaining_ms)
+        if self.rate.is_behind(self.waiting_count, remaining_ms):
+            return True
+        # Answers leave in order.  In the worst case, a stuck request is among those that a connection can
+        # have open at once, again and again.
+        turns = max(client.turns_left() for client in waiting)
+        return turns * self.rate.stuck_after_ms() > remaining_ms
 
     def _shed_stuck(self, now: float, *, only_oldest: bool) -> None:
         """Reject open requests that have waited for an answer much longer than others had to.
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -184,6 +184,23 @@
         assert account.highest_bytes <= account.bounds.total_bytes + SMALL_INPUT_BYTES
 
 
+@async_test
+async def test_one_stuck_request_after_another_is_counted_as_needed_time():
+    """Regression: few could be served while the process ended, though the rate alone would have sufficed."""
+    servers = Servers()
+    async with running_program(servers.slow, servers.quick) as s:
+        bound_memory(s, 2 * MIB)
+        admission = s.program.front.admission
+        client = await s.client()
+        client.send(*(read(number, shard=number % 2) for number in range(60)))
+        await s.until(lambda: admission.waiting_count > 40)
+        admission.rate.answers_per_ms = 1000.0  # all the others at once
+        (waiting_client,) = s.program.front.clients
+        deadline = waiting_client.waiting.requests[0].deadline
+        assert not admission._is_behind(deadline - 100_000)
+        assert admission._is_behind(deadline - 1000)
+
+
 @async_test
 async def test_answers_larger_than_expected_stay_with_their_servers():
     """Regression: room is set aside for answers as large as earlier ones, and larger ones had no bound."""
