--- a/cressrock/resp/client_connection.py
+++ b/cressrock/resp/client_connection.py
@@ -30,6 +30,7 @@
         "data",
         "words",
         "request_class",
+        "shard",
         "received_at",
         "deadline",
         "admitted_at",
@@ -42,6 +43,7 @@
         self.data = data
         self.words: tuple[bytes, ...] = ()  # of a request that has no answer yet
         self.request_class = 0
+        self.shard = 0
         self.received_at = 0.0  # its last byte, on the driver's clock
         self.deadline = 0.0
         self.admitted_at = 0.0
--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -294,6 +294,7 @@
         pending = PendingAnswer()
         pending.words = request.words
         pending.request_class = request.request_class
+        pending.shard = request.shard
         pending.received_at = client.received_at
         pending.deadline = min(client.received_at + request.patience_ms, self.answers_due_at)
         client.queue.append(pending)
--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -31,11 +31,13 @@
 if TYPE_CHECKING:
     from cressrock.resp.client_connection import ClientConnection, PendingAnswer
 
+ANY_SHARD = -1  # of a request for a new object
 CHECK_INTERVAL_S = 0.05  # of waiting requests
 REFUSAL_LEAD_MS = 250.0  # a waiting request is refused this long before its deadline
 MAX_PAUSE_FRACTION = 0.5  # of the time that a client waits: how long its input is not read
 LONG_PAUSE_FRACTION = 0.125  # the same, after which requests that are stuck at servers are rejected
 LOG_PAUSE_MS = 1000.0  # without anything waiting, before the next shortage is logged
+STUCK_SHARD_MS = 500.0  # after a rejection at a shard, until its servers are tried again
 SMALL_INPUT_BYTES = 16384  # of a connection's next command, read without asking for room
 
 
@@ -53,7 +55,7 @@
 class WaitingRequests:
     """What one connection waits for: requests that are not admitted yet, then its next command's value."""
 
-    __slots__ = ("requests", "input_bytes", "input_since", "input_patience_ms")
+    __slots__ = ("requests", "input_bytes", "input_since", "input_patience_ms", "input_shard")
 
     def __init__(self) -> None:
         """Start with nothing waiting."""
@@ -61,6 +63,7 @@
         self.input_bytes = 0  # of a command whose value is not read on; 0 if none
         self.input_since = 0.0
         self.input_patience_ms = 0.0
+        self.input_shard = ANY_SHARD
 
     def is_empty(self) -> bool:
         """Return whether nothing waits."""
@@ -100,6 +103,8 @@
         self.is_refusing = False  # nothing waits any more: what there is no room for is refused
         self._waiting: dict[ClientConnection, None] = {}  # whose turn is next comes first
         self._open: dict[PendingAnswer, ClientConnection] = {}  # admitted and unanswered, oldest first
+        self._stuck_shards: dict[int, float] = {}  # when a request that was stuck there was last rejected
+        self._is_behind = False  # what waits can hardly be served in time
         self._is_limited = False  # answers are read for some requests only
         self._is_turn_scheduled = False
         self._timer: asyncio.TimerHandle | None = None
@@ -143,6 +148,7 @@
             return
         self.rate.record_answer(self.clock() - pending.admitted_at)
         if value is not None:
+            self._stuck_shards.pop(pending.shard, None)
             self.answer_sizes.record(pending.request_class, len(value))
 
     def forget(self, client: ClientConnection) -> None:
@@ -194,17 +200,20 @@
             return True
         if not client.waiting.input_bytes:
             client.waiting.input_bytes, client.waiting.input_since = needed_bytes, self.clock()
-            client.waiting.input_patience_ms = self._patience_ms(client)
+            self._read_input_header(client)
             self.counts.paused += 1
         self._wait(client)
         return False
 
-    def _patience_ms(self, client: ClientConnection) -> float:
-        """Return how long the client waits for the answer to the command that is arriving."""
+    def _read_input_header(self, client: ClientConnection) -> None:
+        """Note for how long the client waits for the command that is arriving, and where it goes."""
+        waiting = client.waiting
         try:
-            return client.front.reader.read([*client.parser.words_before_value, b""]).patience_ms
+            request = client.front.reader.read([*client.parser.words_before_value, b""])
         except InvalidCommandError:
-            return 0.0
+            waiting.input_patience_ms, waiting.input_shard = 0.0, ANY_SHARD
+        else:
+            waiting.input_patience_ms, waiting.input_shard = request.patience_ms, request.shard
 
     def _wanted_for_input(self, needed_bytes: int) -> int:
         expected_bytes = max(map(self.answer_sizes.expected_bytes, self._write_classes), default=0)
@@ -252,12 +261,20 @@
         waiting = client.waiting
         if waiting.requests:
             pending = waiting.requests[0]
+            if self._is_stuck(pending.shard):
+                self._remove_waiting(client, pending)
+                self.refuse(client, pending)
+                client.flush()
+                return True
             wanted_bytes, is_oldest = self._wanted_bytes(pending), client.queue[0] is pending
             if not self.account.has_room(wanted_bytes, client.held_bytes, is_oldest=is_oldest):
                 return False
             self._remove_waiting(client, pending)
             self._admit(client, pending, client.front.reader.read(list(pending.words)))
             return True
+        if self._is_stuck(waiting.input_shard):
+            self._discard_input(client)
+            return True
         wanted_bytes = self._wanted_for_input(waiting.input_bytes)
         if not self.account.has_room(wanted_bytes, client.held_bytes, is_oldest=not client.queue):
             return False
@@ -314,9 +331,9 @@
         now = self.clock()
         self.rate.end_interval(now - self._checked_at)
         self._checked_at = now
-        is_behind = self._is_behind(now)
-        if is_behind or self._is_limited:
-            self._shed_stuck(now, only_oldest=not is_behind)
+        self._is_behind = self._is_waiting_too_long(now)
+        if self._is_behind or self._is_limited:
+            self._shed_stuck(now, only_oldest=not self._is_behind)
         for client in list(self._waiting):
             self._refuse_due(client)
             if self._input_wait(client, now) > MAX_PAUSE_FRACTION:
@@ -349,10 +366,28 @@
             self.log("memory is short: connections that waited are read on, what has no room is refused")
         self._refused_at = now
         client.is_refusing_input = True
+        self._discard_input(client)
+
+    def _discard_input(self, client: ClientConnection) -> None:
+        """Read the command that is arriving without its value, and refuse it."""
         client.waiting.input_bytes = 0
         client.parser.discard_value()
         client.resume_reading()
 
+    def _is_stuck(self, shard: int) -> bool:
+        """Return whether a request to a shard would only be in the way of others.
+
+        While what waits can hardly be in time, requests that were stuck at the shard have been rejected, and
+        it has answered none since.  It is tried again after some time.
+        """
+        rejected_at = self._stuck_shards.get(shard)
+        if rejected_at is None or not self._is_behind:
+            return False
+        if self.clock() - rejected_at < STUCK_SHARD_MS:
+            return True
+        del self._stuck_shards[shard]
+        return False
+
     def _input_wait(self, client: ClientConnection, now: float) -> float:
         """Return which part of its client's time a connection's input has waited; 0 if it does not wait."""
         waiting = client.waiting
@@ -360,7 +395,7 @@
             return 0.0
         return (now - waiting.input_since) / max(1.0, waiting.input_patience_ms)
 
-    def _is_behind(self, now: float) -> bool:
+    def _is_waiting_too_long(self, now: float) -> bool:
         """Return whether what waits can hardly be served in time."""
         # How much more input the kernel holds is not known, so its time is compared with a fixed part.
         max_wait = LONG_PAUSE_FRACTION if self.refuse_all_at == INFINITE_MS else 0.0
@@ -386,8 +421,10 @@
         for pending, client in list(self._open.items()):
             if pending.admitted_at > admitted_before:
                 break
-            if not only_oldest or client.queue[0] is pending:
-                shed += self.driver.shed(pending.name)
+            if (not only_oldest or client.queue[0] is pending) and self.driver.shed(pending.name):
+                shed += 1
+                if pending.shard != ANY_SHARD:
+                    self._stuck_shards[pending.shard] = now
         if shed:
             if now - self._shed_at > LOG_PAUSE_MS:
                 self.log(f"memory is short: {shed} requests that wait for servers were rejected")
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -197,8 +197,33 @@
         admission.rate.answers_per_ms = 1000.0  # all the others at once
         (waiting_client,) = s.program.front.clients
         deadline = waiting_client.waiting.requests[0].deadline
-        assert not admission._is_behind(deadline - 100_000)
-        assert admission._is_behind(deadline - 1000)
+        assert not admission._is_waiting_too_long(deadline - 100_000)
+        assert admission._is_waiting_too_long(deadline - 1000)
+
+
+@async_test
+async def test_requests_to_a_shard_that_is_stuck_make_room_for_others_at_once():
+    """Regression: each waited in turn until it counted as stuck, and the others' time was over by then."""
+    servers = Servers()
+    async with running_program(servers.slow, servers.quick) as s:
+        bound_memory(s, 2 * MIB)
+        admission = s.program.front.admission
+        admission.rate.answers_per_ms = 1e-6  # so little that what waits cannot be in time
+        clients = [await s.client() for _ in range(4)]
+        for index, client in enumerate(clients):
+            client.parser = codec.ReplyParser(1 << 20)
+            client.send(*(read(100 * index + n, shard=n % 2) for n in range(50)))
+        for index, client in enumerate(clients):
+            for n in range(50):
+                reply = await client.reply()
+                if n % 2:
+                    assert reply == request_id(100 * index + n) + VALUE
+                else:
+                    assert isinstance(reply, ErrorReply)
+                    assert reply.text.startswith("BUSY")
+        # Few were sent to the server that hangs: the first ones, and one now and then.
+        assert len(servers.withheld) < 40
+        assert admission.counts.refused > 60
 
 
 @async_test
