--- a/cressrock/consensus/decision_cache.py
+++ b/cressrock/consensus/decision_cache.py
@@ -2,35 +2,37 @@
 
 from __future__ import annotations
 
-import os
 from collections.abc import Callable
 from pathlib import Path
 
 from cressrock.consensus.decision_reader import DecisionReader
 from cressrock.consensus.decisions import MAX_TOPICS, Decision, Expired, decode_decision
-from cressrock.consensus.store_file import flush_directory
 from cressrock.errors.consensus import InvalidDecisionError, StoreTooNewError
+from cressrock.state_file import StateFiles
 
 
 class DecisionCache:
-    """A DecisionReader that saves its state to disk before it notifies listeners of a decision.
-
-    Each new version costs one small write and flush on the caller's task, which is acceptable because
-    decisions are rare.
-    """
+    """A DecisionReader that saves its state to disk with each new version of a decision."""
 
     def __init__(
-        self, path: str | Path | None, clock: Callable[[], float], *, max_topics: int = MAX_TOPICS
+        self,
+        path: str | Path | None,
+        clock: Callable[[], float],
+        *,
+        max_topics: int = MAX_TOPICS,
+        state_files: StateFiles | None = None,
     ) -> None:
         """Load the saved state from `path`; without a path nothing is saved.
 
-        A corrupt file is ignored, and `corrupt_reason` says why.  Raises StoreTooNewError if a newer
+        The file is one of `state_files`, by default of some that are written at once.  A corrupt file is
+        ignored, and `corrupt_reason` says why.  Raises StoreTooNewError if a newer
         program wrote the file.
         """
         self.path = Path(path) if path else None
         self.clock = clock
         self.corrupt_reason = ""
         self.unsaved_reason = ""  # why the last write failed; "" if the file is up to date
+        self._file = (state_files or StateFiles()).open(self.path, self._on_written)
         self.listeners: list[Callable[[Decision], None]] = []
         stored = b""
         if self.path is not None:
@@ -50,19 +52,15 @@
     def receive(self, decision: Decision) -> bool:
         """Process a decision from any source; return whether it is new.
 
-        A new version is saved before the listeners are notified.  Renewals are saved with the next version:
-        a process that restarts with an older renewal only honours a decision for one more lease.  If the
-        write fails, the decision still takes effect (no rule depends on the file), and `unsaved_reason` is
-        set until a write succeeds.
+        A new version is saved, and the listeners are notified without waiting for the disk.  Renewals are
+        saved with the next version: a process that restarts with an older renewal only honours a decision
+        for one more lease.  Until the write ends, and if it fails, the decision takes effect all the same:
+        no rule depends on the file.  `unsaved_reason` is set after a failed write until one succeeds.
         """
         former_version = self.reader.last_version(decision.topic)
         is_new = self.reader.receive(decision, self.clock())
         if is_new and (decision.version > former_version or self.unsaved_reason):
-            try:
-                self.save()
-                self.unsaved_reason = ""
-            except OSError as error:
-                self.unsaved_reason = str(error)
+            self._file.write(self.reader.to_bytes())
         if is_new:
             for notify in self.listeners:
                 notify(decision)
@@ -76,14 +74,5 @@
         """Return the topic's decision at the current time; see DecisionReader.get."""
         return self.reader.get(topic, self.clock())
 
-    def save(self) -> None:
-        """Write the reader's state to disk atomically.  Raises OSError."""
-        if self.path is None:
-            return
-        part = self.path.with_name(self.path.name + ".part")
-        with open(part, "wb") as file:
-            file.write(self.reader.to_bytes())
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(part, self.path)
-        flush_directory(self.path.parent)
+    def _on_written(self, error: str) -> None:
+        self.unsaved_reason = error
--- a/cressrock/consensus/store_file.py
+++ b/cressrock/consensus/store_file.py
@@ -42,6 +42,7 @@
     StoreTooNewError,
     StoreTooOldError,
 )
+from cressrock.state_file import flush_directory
 
 FORMAT = 1
 OLDEST_FORMAT = 1  # oldest format that this program can read
@@ -52,15 +53,6 @@
 SQLITE_PRIMARY_CODE = 0xFF  # mask of the primary result code in an extended one
 
 
-def flush_directory(path: Path) -> None:
-    """Flush a directory, so that the name of a new or renamed file is durable.  Raises OSError."""
-    handle = os.open(path, os.O_RDONLY)
-    try:
-        os.fsync(handle)
-    finally:
-        os.close(handle)
-
-
 class StoreFile:
     """The SQLite file of one store, open in one process at a time."""
 
--- a/cressrock/dispatch/node_list_poller.py
+++ b/cressrock/dispatch/node_list_poller.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import os
 from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
@@ -20,6 +19,7 @@
 from cressrock.dispatch.spool import PayloadStore, complete_spool
 from cressrock.http.channel import ConnectionLostError, MessageTooLargeError
 from cressrock.interface import ListKind, NodeList
+from cressrock.state_file import StateFiles
 
 DISCOVERY_PATH = b"/v3/discovery:endpoints"
 MAX_REQUEST_BYTES = 1 << 20
@@ -48,12 +48,17 @@
         on_report: Callable[[NodeList], None],
         wall_ms: Callable[[], float],
         log: Any,
+        state_files: StateFiles | None = None,
     ) -> None:
-        """`on_report` receives each report; `wall_ms` returns epoch milliseconds."""
+        """`on_report` receives each report; `wall_ms` returns epoch milliseconds.
+
+        The cache file is one of `state_files`, by default of some that are written at once.
+        """
         self.state = state
         self.client = client
         self.source = source
         self.cache = Path(source.cache) if source.cache else None
+        self._cache_file = (state_files or StateFiles()).open(self.cache, self._on_cache_written)
         self.on_report = on_report
         self.wall_ms = wall_ms
         self.log = log
@@ -132,19 +137,10 @@
             for warning in update.warnings:
                 self.log.warning("node_list.inconsistent", version=update.version, warning=warning)
             self.on_report(update.report)
-            self._write_cache(reply.body)
+            self._cache_file.write(reply.body)
         return True
 
-    def _write_cache(self, body: bytes) -> None:
-        """Replace the cache file atomically; a failure is logged and leaves the old file."""
-        if self.cache is None:
-            return
-        partial = self.cache.with_name(self.cache.name + ".part")
-        try:
-            with open(partial, "wb") as file:
-                file.write(body)
-                file.flush()
-                os.fsync(file.fileno())
-            os.replace(partial, self.cache)
-        except OSError as error:
-            self.log.warning("node_list.cache_not_written", file=str(self.cache), error=str(error))
+    def _on_cache_written(self, error: str) -> None:
+        """Log a failed write, which leaves the old file."""
+        if error:
+            self.log.warning("node_list.cache_not_written", file=str(self.cache), error=error)
--- a/cressrock/planner/epochs.py
+++ b/cressrock/planner/epochs.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
-import os
 from pathlib import Path
 
+from cressrock.state_file import write_atomically
+
 FILE_FORMAT = "cressrock-epoch-1"
 
 
@@ -42,12 +43,7 @@
         return int(number)
 
     def write(self, epoch: int) -> None:
-        """Store an epoch.  Raises OSError; the previous file is then still intact."""
+        """Store an epoch; blocks until it is durable.  Raises OSError; the previous file is then intact."""
         if self.path is None:
             return
-        partial = self.path.with_name(self.path.name + ".part")
-        with open(partial, "w", encoding="ascii") as file:
-            file.write(f"{FILE_FORMAT} {epoch}\n")
-            file.flush()
-            os.fsync(file.fileno())
-        os.replace(partial, self.path)
+        write_atomically(self.path, f"{FILE_FORMAT} {epoch}\n".encode("ascii"))
--- a/cressrock/programs/composition.py
+++ b/cressrock/programs/composition.py
@@ -39,6 +39,7 @@
 from cressrock.settings.rules import Tables, Version
 from cressrock.settings.types import Gateway as Settings
 from cressrock.settings.types import interface_settings
+from cressrock.state_file import StateFiles
 
 SEED_BITS = 62
 
@@ -53,6 +54,7 @@
     log: Any
     sockets: Sockets = field(default_factory=SystemSockets)
     allow_threads: bool = True  # blocking calls may run in worker threads; False in simulated time
+    state_files: StateFiles = field(default_factory=StateFiles)
 
 
 def create_scheduler(settings: Settings, seed: int, now_ms: float) -> DecisionModule:
@@ -109,6 +111,7 @@
         on_report=on_report,
         wall_ms=environment.wall_ms,
         log=environment.log,
+        state_files=environment.state_files,
     )
 
 
@@ -133,6 +136,7 @@
         rng=child_rng(rng),
         log=environment.log,
         allow_threads=environment.allow_threads,
+        state_files=environment.state_files,
         is_collector=role == "planner" and reads_evidence,
     )
 
@@ -210,6 +214,7 @@
         planner_has_version=hooks.planner_has_version,
         may_lead=hooks.may_lead,
         zone_of=lambda name: next((m.zone for m in runtime.members() if m.name == name), ""),
+        state_files=environment.state_files,
     )
 
 
--- a/cressrock/programs/gateway.py
+++ b/cressrock/programs/gateway.py
@@ -28,6 +28,7 @@
 from cressrock.interface import Node, NodeList, NodeState
 from cressrock.observe import admin
 from cressrock.observe.metrics import Metrics
+from cressrock.observe.state_file_metrics import StateFileCollector
 from cressrock.presence.service import PresenceService
 from cressrock.programs.composition import (
     SEED_BITS,
@@ -81,6 +82,7 @@
             [request_class.name for request_class in settings.classes],
             log_requests=settings.observe.log_requests,
         )
+        self.metrics.registry.register(StateFileCollector(environment.state_files.counts))
         self.node_client = create_node_client(settings, environment)
         self.payload_store = PayloadStore(
             memory_bytes=settings.payloads.memory_bytes,
--- a/cressrock/programs/process.py
+++ b/cressrock/programs/process.py
@@ -17,6 +17,7 @@
 from cressrock.programs.gateway import Gateway
 from cressrock.settings import SettingsError, load
 from cressrock.settings.types import Gateway as Settings
+from cressrock.state_file import StateFiles
 
 MAX_ADMIN_CONNECTIONS = 64
 
@@ -76,7 +77,9 @@
     # Without a configured seed each process draws a random one, because idempotency keys and lock tokens must
     # be unique across processes.
     seed = settings.seed or secrets.randbits(SEED_BITS)
-    return Environment(net.connect, net.wall_ms, seed, log)
+    return Environment(
+        net.connect, net.wall_ms, seed, log, state_files=StateFiles(in_background=True, log=log)
+    )
 
 
 async def _serve_admin_port(settings: Settings, admin: AdminServer, tasks: TaskGroup, log: Any) -> str | None:
--- a/cressrock/rollout/service.py
+++ b/cressrock/rollout/service.py
@@ -20,7 +20,7 @@
 from cressrock.gossip.messages import Origin
 from cressrock.rollout.admin import AdminEndpoint
 from cressrock.rollout.counts import FleetCounts, LocalCounts
-from cressrock.rollout.crash_record import record_start
+from cressrock.rollout.crash_record import CrashRecord, record_start
 from cressrock.rollout.evidence import MAX_REASON_CHARS, RequestOutcome
 from cressrock.rollout.evidence_exchange import EvidenceExchange
 from cressrock.rollout.interfaces import ClusterRuntime, Exchange, V, VersionTables
@@ -34,6 +34,9 @@
 from cressrock.rollout.status import StatusReport, class_reports, fleet_statistics, status_sentence
 from cressrock.rollout.summaries import FleetSummary, ZoneSummarizer
 from cressrock.rollout.verdict import local_accusation
+from cressrock.state_file import StateFiles
+
+MAX_LAST_WRITE_S = 1.0  # how long the end of the process waits for the record of its clean end
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,16 +84,20 @@
         planner_has_version: Callable[[str], bool] = lambda digest: True,
         may_lead: bool = False,
         zone_of: Callable[[str], str] = lambda name: "",
+        state_files: StateFiles | None = None,
     ) -> None:
         """`on_versions_changed(live digests)` is called after the set of loaded versions changed.
 
         `planner_has_version(digest)` is whether the planner or edge that decides for this process has it;
-        `may_lead` is whether this process has a consensus replica; `zone_of` maps a process to its zone.
+        `may_lead` is whether this process has a consensus replica; `zone_of` maps a process to its zone;
+        `state_files` writes `keep_file`.
         """
         self._runtime, self._tables, self._settings = runtime, tables, settings
         self._clock, self._wall_ms, self._rng, self._log = clock, wall_ms, rng, log
         self._planner_has_version, self._may_lead, self._zone_of = planner_has_version, may_lead, zone_of
-        self._persisted = PersistedStateFile(settings.keep_file, log)
+        self._persisted = PersistedStateFile(settings.keep_file, log, state_files)
+        self._recorded_digest = ""  # of the candidate whose run is recorded on disk
+        self._is_applying = False
         self._versions = LoadedVersions(
             runtime.decision_cache, tables, self._persisted, log, on_versions_changed
         )
@@ -161,10 +168,17 @@
 
     def _on_leaving(self) -> None:
         """Record a clean shutdown."""
-        self._persisted.set_running(False)
+        self._persisted.set_not_running()
 
     def _apply_decision(self) -> None:
         """Apply the newest decision: load its versions and update this process's participation."""
+        self._is_applying = True
+        try:
+            self._apply_newest_decision()
+        finally:
+            self._is_applying = False
+
+    def _apply_newest_decision(self) -> None:
         cached = self._runtime.decision_cache.get(ROLLOUT_TOPIC)
         decision = cached.decision if isinstance(cached, Expired) else cached
         if decision is not None and decision.version != self._decoded_version:
@@ -200,7 +214,7 @@
         elif self._participation is not None:
             # Only with a participation: after a crash, the record of the open run must not be cleared before
             # the decision is received again, or the crash would not be counted.
-            persisted.set_running(False)
+            persisted.set_not_running()
         self._versions.hold(documents, good, self._clock())
 
     def _participate(self, digest: str, data: bytes) -> bool:
@@ -208,9 +222,27 @@
         participation = self._participation
         if participation is None:
             participation = self._begin_participation(digest, data)
-        elif not participation.rollback_reason:
-            self._persisted.set_running(True)
-        return participation is not None and not participation.rollback_reason
+        elif not participation.rollback_reason and not self._persisted.state.crash_record.running:
+            record = msgspec.structs.replace(self._persisted.state.crash_record, running=True)
+            self._record_run(digest, record)
+        if participation is None or participation.rollback_reason:
+            return False
+        return self._recorded_digest == digest
+
+    def _record_run(self, digest: str, record: CrashRecord) -> None:
+        """Record on disk that a run under a candidate begins; the candidate is used once that is durable.
+
+        Otherwise a crash right after its first use would never be counted.
+        """
+        self._recorded_digest = ""
+
+        def on_durable() -> None:
+            if self._participation is None or self._participation.digest == digest:
+                self._recorded_digest = digest
+                if not self._is_applying:
+                    self._apply_decision()
+
+        self._persisted.set_crash_record(record, on_durable)
 
     def _begin_participation(self, digest: str, data: bytes) -> Participation | None:
         settings = self._settings
@@ -219,12 +251,11 @@
         except RolloutError as error:
             self._versions.problems = [f"{digest}: {error.text}"]
             return None
-        # Write to disk before the candidate is used: otherwise an immediate crash would never be counted.
         record = record_start(
             self._persisted.state.crash_record, digest, self._wall_ms(),
             max_starts=settings.max_starts, window_ms=settings.starts_window_ms,
         )  # fmt: skip
-        self._persisted.set_crash_record(record)
+        self._record_run(digest, record)
         fleet = FleetCounts(digest) if self._may_lead else None
         participation = self._participation = Participation(digest, plan, LocalCounts(digest), fleet)
         if fleet is not None:
@@ -254,9 +285,13 @@
 
     async def run(self) -> None:
         """Apply decisions, publish counts and, as leader, propose the next step; until cancelled."""
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._poll)
-            tasks.start_soon(self._renew_read_lease)
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._poll)
+                tasks.start_soon(self._renew_read_lease)
+        finally:
+            with anyio.move_on_after(MAX_LAST_WRITE_S, shield=True):
+                await self._persisted.wait_written()
 
     async def _poll(self) -> None:
         while True:
--- a/cressrock/runtime/cluster.py
+++ b/cressrock/runtime/cluster.py
@@ -44,6 +44,7 @@
 from cressrock.runtime.streams import StreamHandler, serve_by_magic
 from cressrock.settings.types import CouncilSettings
 from cressrock.settings.types import Fleet as FleetSettings
+from cressrock.state_file import StateFiles
 
 GOSSIP_ROUNDS_PER_PERIOD = 5  # per period of the membership protocol
 
@@ -89,11 +90,13 @@
         rng: random.Random,
         log: Any,
         allow_threads: bool = True,
+        state_files: StateFiles | None = None,
         is_collector: bool = False,
     ) -> None:
         """`clock` returns monotonic ms.
 
-        `allow_threads`: a replica's writes run in worker threads (False in simulated time).  `is_collector`:
+        `allow_threads`: a replica's writes run in worker threads (False in simulated time).  `state_files`
+        writes `seen_file`.  `is_collector`:
         this process evaluates evidence; it collects evidence only if it also has a consensus replica.  Raises
         StoreTooNewError if `seen_file` was written by a newer version.
         """
@@ -121,7 +124,7 @@
         self.replica: ConsensusReplica | None = None
         self.consensus: ConsensusClient | None = None
         seen_file = identity.council.seen_file if identity.council is not None else None
-        self.decision_cache = DecisionCache(seen_file, clock)
+        self.decision_cache = DecisionCache(seen_file, clock, state_files=state_files)
         self.addresses: dict[str, str] = {}  # bound addresses, by "fleet" and "council"
         self.on_gossip_change: list[
             Callable[[Origin, str], None]
--- a/tests/rollout/test_drill.py
+++ b/tests/rollout/test_drill.py
@@ -98,7 +98,18 @@
 
 
 async def start(drill, value, name="d2"):
-    status = await ask(drill, name, {"action": "start", "document": value})
+    """Start a rollout; ask again while the process has no time for an answer, as an operator would."""
+    status, is_unanswered = {}, False
+
+    async def answered():
+        nonlocal status, is_unanswered
+        status = await ask(drill, name, {"action": "start", "document": value})
+        if is_unanswered and status.get("error"):
+            status = await ask(drill, name)  # an earlier call may have started it
+        is_unanswered = is_unanswered or not status
+        return bool(status)
+
+    await drill.until("an answer to the start", answered)
     assert status.get("state") == "running", status
     return status["digest"]
 
@@ -265,6 +276,20 @@
     play(story, edges_die=True)
 
 
+@pytest.mark.parametrize("delay_s", [0.2, 1.5])
+def test_a_rollout_completes_beside_slow_disks_and_no_answer_is_late(delay_s):
+    """Regression (issue 53): files were written in the event loop, and each answer waited for the disk."""
+    slow = [sys.executable, "-m", "cressrock.lab.slow_disk", str(delay_s)]
+
+    async def story(drill):
+        await wait_for_leader(drill)
+        digest = await start(drill, document(drill, {"lettura": {"aim_ms": 310}}))
+        await drill.until("done", lambda: all_report(drill, state="done", good=digest, held=[digest]))
+        await drill.answered(30)
+
+    play(story, programs=dict.fromkeys(ALL, slow))
+
+
 def test_a_partitioned_process_returns_to_the_good_version_when_the_lease_expires():
     async def story(drill):
         await wait_for_leader(drill)
