--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -27,21 +27,15 @@
 )
 from cressrock.resp.receive_buffer import RECEIVE_BYTES
 from cressrock.resp.request import InvalidCommandError, Request
+from cressrock.resp.stuck_requests import ANY_SHARD, CHECK_INTERVAL_MS, StuckRequests
 
 if TYPE_CHECKING:
     from cressrock.resp.client_connection import ClientConnection, PendingAnswer
 
-ANY_SHARD = -1  # of a request for a new object
-CHECK_INTERVAL_S = 0.05  # of waiting requests
 REFUSAL_LEAD_MS = 250.0  # a waiting request is refused this long before its deadline
 MAX_PAUSE_FRACTION = 0.5  # of the time that a client waits: how long its input is not read
 LONG_PAUSE_FRACTION = 0.125  # the same, after which requests that are stuck at servers are rejected
 LOG_PAUSE_MS = 1000.0  # without anything waiting, before the next shortage is logged
-MAX_CHECK_DELAY_MS = 100.0  # a later check shows that this process was held up
-RECENT_ANSWER_MS = 200.0
-SILENT_SHARD_FACTOR = 2.0  # of the time after which a request is stuck, until its shard counts as stuck
-SLOW_SHARD_FACTOR = 2.0  # of the time after which a request is stuck, at a shard that serves others
-STUCK_SHARD_MS = 1000.0  # after a rejection at a shard, until its servers are tried again
 SMALL_INPUT_BYTES = 16384  # of a connection's next command, read without asking for room
 
 
@@ -107,11 +101,7 @@
         self.is_refusing = False  # nothing waits any more: what there is no room for is refused
         self._waiting: dict[ClientConnection, None] = {}  # whose turn is next comes first
         self._open: dict[PendingAnswer, ClientConnection] = {}  # admitted and unanswered, oldest first
-        self._served_at = -INFINITE_MS  # when a request was last served
-        self._shard_served_at: dict[int, float] = {}  # the same for each shard
-        self._newest_served_at = -INFINITE_MS  # when the newest request that has been served was admitted
-        self._held_up_at = -INFINITE_MS  # when this process last went on after it was held up
-        self._stuck_shards: dict[int, float] = {}  # when a request that was stuck there was last rejected
+        self._stuck = StuckRequests()
         self._is_behind = False  # what waits can hardly be served in time
         self._is_limited = False  # answers are read for some requests only
         self._is_turn_scheduled = False
@@ -156,9 +146,7 @@
             return
         self.rate.record_answer(self.clock() - pending.admitted_at)
         if value is not None:
-            self._served_at = self._shard_served_at[pending.shard] = self.clock()
-            self._newest_served_at = max(self._newest_served_at, pending.admitted_at)
-            self._stuck_shards.pop(pending.shard, None)
+            self._stuck.record_served(pending.shard, pending.admitted_at, self.clock())
             self.answer_sizes.record(pending.request_class, len(value))
 
     def forget(self, client: ClientConnection) -> None:
@@ -177,9 +165,9 @@
         return REQUEST_BYTES + pending.value_bytes() + room_for_answer
 
     def _admit(self, client: ClientConnection, pending: PendingAnswer, request: Request) -> None:
-        self._shard_served_at.setdefault(pending.shard, self.clock())  # it has had no time to answer yet
         pending.hold(client, self._wanted_bytes(pending))
         pending.admitted_at = self.clock()
+        self._stuck.record_admission(pending.shard, pending.admitted_at)
         self._open[pending] = client
         self.submit(client, pending, request)
 
@@ -335,15 +323,14 @@
 
     def _schedule_check(self) -> None:
         if self._timer is None:
-            self._timer = asyncio.get_running_loop().call_later(CHECK_INTERVAL_S, self._check)
+            self._timer = asyncio.get_running_loop().call_later(CHECK_INTERVAL_MS / 1000, self._check)
 
     def _check(self) -> None:
         self._timer = None
         now = self.clock()
         interval_ms = now - self._checked_at
         self.rate.end_interval(interval_ms)
-        if interval_ms > CHECK_INTERVAL_S * 1000 + MAX_CHECK_DELAY_MS:
-            self._held_up_at = now
+        self._stuck.record_check(interval_ms, now)
         self._checked_at = now
         self._is_behind = self._is_waiting_too_long(now)
         if self._is_behind or self._is_limited:
@@ -389,20 +376,8 @@
         client.resume_reading()
 
     def _is_stuck(self, shard: int) -> bool:
-        """Return whether a request to a shard would only be in the way of others.
-
-        While what waits can hardly be in time, requests that were stuck at the shard have been rejected, and
-        it has answered none since, although others have.  It is tried again after some time.
-        """
-        rejected_at = self._stuck_shards.get(shard)
-        if rejected_at is None or not self._is_behind:
-            return False
-        if self.clock() - self._served_at > RECENT_ANSWER_MS:
-            return False
-        if self.clock() - rejected_at < STUCK_SHARD_MS:
-            return True
-        del self._stuck_shards[shard]
-        return False
+        """Return whether a request to a shard would be in the way of others that can hardly be in time."""
+        return self._is_behind and self._stuck.is_shard_stuck(shard, self.clock())
 
     def _input_wait(self, client: ClientConnection, now: float) -> float:
         """Return which part of its client's time a connection's input has waited; 0 if it does not wait."""
@@ -429,38 +404,30 @@
         return turns * self.rate.stuck_after_ms() > remaining_ms
 
     def _shed_stuck(self, now: float, *, only_oldest: bool) -> None:
-        """Reject open requests that have waited for an answer much longer than others had to.
+        """Reject open requests that are stuck.
 
-        Only such as were overtaken by later ones: if none was served since, all servers or this machine are
-        held up, and others would fare no better.  With `only_oldest`, only those that other answers of their
-        connection wait behind.
+        With `only_oldest`, only those that other answers of their connection wait behind.
         """
         stuck_after_ms, shed = self.rate.stuck_after_ms(), 0
-        if now - self._held_up_at < stuck_after_ms:
+        if not self._stuck.may_reject(now, stuck_after_ms):
             return
-        admitted_before = min(now - stuck_after_ms, self._newest_served_at)
-        silent_since = now - SILENT_SHARD_FACTOR * stuck_after_ms
+        latest_admission = self._stuck.latest_admission(now, stuck_after_ms)
         for pending, client in list(self._open.items()):
-            if pending.admitted_at >= admitted_before:
+            if pending.admitted_at >= latest_admission:
                 break
-            is_silent = self._is_silent(pending.shard, now - stuck_after_ms)
             is_oldest = client.queue[0] is pending
-            if not is_silent and now - pending.admitted_at < SLOW_SHARD_FACTOR * stuck_after_ms:
-                continue
-            if (is_oldest or (is_silent and not only_oldest)) and self.driver.shed(pending.name):
+            is_stuck = self._stuck.is_stuck(
+                pending.shard, pending.admitted_at, now, stuck_after_ms, is_oldest=is_oldest
+            )
+            if is_stuck and (is_oldest or not only_oldest) and self.driver.shed(pending.name):
                 shed += 1
-                if pending.shard != ANY_SHARD and self._is_silent(pending.shard, silent_since):
-                    self._stuck_shards[pending.shard] = now
+                self._stuck.record_rejection(pending.shard, now, stuck_after_ms)
         if shed:
             if now - self._shed_at > LOG_PAUSE_MS:
                 self.log(f"memory is short: {shed} requests that wait for servers were rejected")
             self._shed_at = now
             self.counts.shed += shed
 
-    def _is_silent(self, shard: int, since: float) -> bool:
-        """Return whether a shard has served nothing since a time."""
-        return self._shard_served_at.get(shard, -INFINITE_MS) < since
-
     def refuse_all(self) -> None:
         """Refuse all that waits now, and from now on all that there is no room for at once."""
         self.is_refusing = True
