Account for clients' memory at less cost a request

Cause: the account of held bytes cost calls in the busiest paths: two more for each read of a socket, a maximum for each change, a view for each short string.

Change: only client connections limit their reads, and the highest value is compared on growth alone; short strings are sliced.

--- a/cressrock/resp/client_connection.py
+++ b/cressrock/resp/client_connection.py
@@ -12,7 +12,7 @@
 
 from cressrock.resp import codec
 from cressrock.resp.memory_admission import WaitingRequests, read_limit
-from cressrock.resp.receive_buffer import SharedBufferProtocol
+from cressrock.resp.receive_buffer import SharedBufferProtocol, shared_buffer
 from cressrock.resp.request import VALUE_INDEX
 
 if TYPE_CHECKING:
@@ -80,6 +80,7 @@
         "granted_bytes",
         "input_bytes",
         "unread_bytes",
+        "read_limit",
     )
 
     def __init__(self, front: Front) -> None:
@@ -102,6 +103,7 @@
         self.granted_bytes = 0  # for a command that is arriving
         self.input_bytes = 0  # in the parser
         self.unread_bytes = 0  # in the transport
+        self.read_limit = 0  # bytes of the read that is under way
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection with the front."""
@@ -113,15 +115,19 @@
         self.transport.set_write_buffer_limits(high=0)
         self.front._on_connected(self)
 
-    def receive_limit(self) -> int:
-        """Return how much the next read may take; see the base class."""
-        return read_limit(self)
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
+        """Return the buffer for the next read, limited to what there is room for."""
+        self.read_limit = read_limit(self)
+        return shared_buffer[: self.read_limit]
 
-    def socket_drained(self) -> None:
-        """Note that further input will be new."""
-        if not self.parser.is_partial:
-            self.is_refusing_input = False
-        self.backlog_since = None if self.is_reading else self.front.clock()
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process the bytes of a read; if it took all that the kernel held, further input will be new."""
+        limit = self.read_limit
+        self.data_received(bytes(shared_buffer[:nbytes]))
+        if nbytes < limit:
+            if not self.parser.is_partial:
+                self.is_refusing_input = False
+            self.backlog_since = None if self.is_reading else self.front.clock()
 
     def data_received(self, data: bytes) -> None:
         """Process input."""
@@ -152,11 +158,11 @@
         for words in commands:
             self._start_command(now)
             front.process_command(self, words)
-            self._release_grant()
+            self.release_grant()
         if exc is not None:
             front.invalid_input_count += 1
             self.queue.append(PendingAnswer(codec.error(f"ERR Protocol error: {exc}")))
-            self._release_grant()
+            self.release_grant()
             self.is_ending = True
             front.idle_clients.pop(self, None)
         elif not self.has_sent_command:
@@ -173,10 +179,13 @@
             front.silent_clients.pop(self, None)
         front.idle_clients.pop(self, None)
 
-    def _release_grant(self) -> None:
-        granted_bytes, self.granted_bytes = self.granted_bytes, 0
+    def release_grant(self) -> int:
+        """Release the room for the command that was arriving; return how much that was."""
+        granted_bytes = self.granted_bytes
         if granted_bytes:
+            self.granted_bytes = 0
             self.hold(-granted_bytes)
+        return granted_bytes
 
     def _pace_reading(self) -> None:
         """Stop reading while commands remain to be processed, or while there is no room for the next one."""
--- a/cressrock/resp/codec.py
+++ b/cressrock/resp/codec.py
@@ -15,6 +15,7 @@
 MAX_LINE_BYTES = 512  # of a line: error and status texts, announced lengths
 MAX_ARRAY_ITEMS = 8  # in an array of a reply
 MAX_LENGTH_DIGITS = 8  # in an announced length
+MIN_VIEW_BYTES = 1024  # of a string for which a view costs less than a copy
 
 CRLF = b"\r\n"
 
@@ -104,11 +105,11 @@
             raise _IncompleteMessageError(end + 2)
         if self._buffer[end : end + 2] != CRLF:
             raise ProtocolError("a bulk string longer than announced")
-        # A view, since a slice of the buffer would be a second copy.
-        with memoryview(self._buffer) as view:
-            value = bytes(view[self._position : end])
-        self._position = end + 2
-        return value
+        start, self._position = self._position, end + 2
+        if length < MIN_VIEW_BYTES:
+            return bytes(self._buffer[start:end])
+        with memoryview(self._buffer) as view:  # a slice of the buffer would be a second copy
+            return bytes(view[start:end])
 
 
 class CommandParser(_Parser):
--- a/cressrock/resp/memory_account.py
+++ b/cressrock/resp/memory_account.py
@@ -78,7 +78,8 @@
     def change(self, delta_bytes: int) -> None:
         """Add to what is held; a negative number releases."""
         self.held_bytes += delta_bytes
-        self.highest_bytes = max(self.highest_bytes, self.held_bytes + self.waiting_bytes)
+        if delta_bytes > 0 and self.held_bytes + self.waiting_bytes > self.highest_bytes:
+            self.highest_bytes = self.held_bytes + self.waiting_bytes
 
     def change_waiting(self, delta_bytes: int) -> None:
         """Add to the commands that wait; a negative number releases."""
--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -115,8 +115,7 @@
 
     def accept(self, client: ClientConnection, pending: PendingAnswer, request: Request) -> None:
         """Admit a request whose command has arrived, let it wait, or refuse it."""
-        granted_bytes, client.granted_bytes = client.granted_bytes, 0
-        client.hold(-granted_bytes)
+        granted_bytes = client.release_grant()
         is_oldest = client.queue[0] is pending
         if granted_bytes or (
             client.waiting.is_empty()
--- a/cressrock/resp/receive_buffer.py
+++ b/cressrock/resp/receive_buffer.py
@@ -14,7 +14,7 @@
 RECEIVE_BYTES = MAX_VALUE_BYTES + 1024  # a whole answer or command, with its other words
 
 # The event loop fills the buffer and passes it on in one call, so connections can share it.
-_shared_buffer = memoryview(bytearray(RECEIVE_BYTES))
+shared_buffer = memoryview(bytearray(RECEIVE_BYTES))
 
 
 class SharedBufferProtocol(asyncio.BufferedProtocol):
@@ -22,24 +22,14 @@
 
     __slots__ = ()
 
-    def receive_limit(self) -> int:
-        """Return how many bytes the next read may take, at least 1 and at most RECEIVE_BYTES."""
-        return RECEIVE_BYTES
-
     def data_received(self, data: bytes) -> None:
         """Process bytes that arrived."""
         raise NotImplementedError
 
-    def socket_drained(self) -> None:
-        """Handle that the last read took all that the kernel held."""
-
     def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
-        """Return the part of the shared buffer that the next read may fill."""
-        return _shared_buffer[: self.receive_limit()]
+        """Return the buffer for the next read; a part of it limits the read."""
+        return shared_buffer
 
     def buffer_updated(self, nbytes: int) -> None:
         """Pass on the bytes of a read."""
-        limit = self.receive_limit()
-        self.data_received(bytes(_shared_buffer[:nbytes]))
-        if nbytes < limit:
-            self.socket_drained()
+        self.data_received(bytes(shared_buffer[:nbytes]))
