--- a/cressrock/resp/client_connection.py
+++ b/cressrock/resp/client_connection.py
@@ -350,9 +350,12 @@
         return self.has_nothing_due() and not self.parser.is_partial and not self.has_unread_input()
 
     def end(self) -> None:
-        """Shut the write side once no answer is due, and linger until the peer closes too."""
+        """Shut the write side once no answer is due, and linger until the peer closes too.
+
+        Answers that wait for the client to read are sent first; `flush` ends the connection then.
+        """
         self.is_ending = True
-        if self in self.front.lingering or self.transport.is_closing():
+        if self.queue or self in self.front.lingering or self.transport.is_closing():
             return
         self.front._linger(self)
         with suppress(OSError):
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -400,6 +400,32 @@
         await s.task
 
 
+@async_test
+async def test_all_answers_to_a_slow_reader_are_sent_before_the_process_exits(monkeypatch):
+    """Regression: answers that waited in the queue behind an unread one were lost as the process ended."""
+    set_stopping_times(
+        monkeypatch,
+        ACCEPT_AFTER_SIGTERM_MS=0.0,
+        MAX_DEADLINE_WAIT_MS=100.0,
+        KILL_ALLOWANCE_MS=20_000.0,
+        ANSWER_LEAD_MS=19_900.0,
+        EXIT_LEAD_MS=0.0,
+    )
+    large = b"y" * 1_500_000
+    async with running_program(lambda words: answer(large), lambda words: answer(large)) as s:
+        sock = await connect_with_small_buffers(s)
+        sock.sendall(read(1) + read(2, shard=1))
+        await s.until(lambda: s.program.front.submitted_count == 2 and not s.program.front.open_ids)
+        (blocked,) = s.program.front.clients
+        assert len(blocked.queue) == 1  # the second answer waits behind the first, which is not read
+        os.kill(os.getpid(), signal.SIGTERM)
+        await s.until(lambda: s.program.loop_batches._stopped)
+        client = await as_client(s, sock)
+        assert await read_until_end(client) == [large, large]
+        client.writer.close()
+        await s.task
+
+
 @async_test
 async def test_each_open_request_is_answered_once_after_two_sigterms(monkeypatch):
     set_stopping_times(
