--- a/cressrock/resp/memory_account.py
+++ b/cressrock/resp/memory_account.py
@@ -143,10 +143,14 @@
         self._answers = 0
 
     def record_answer(self, answer_ms: float) -> None:
-        """Count an answer that took `answer_ms` from the request's admission."""
+        """Count a request that was served `answer_ms` after its admission."""
         self._answers += 1
         self.answer_ms = max(answer_ms, self.answer_ms - (self.answer_ms - answer_ms) * ANSWER_TIME_DECAY)
 
+    def begin_interval(self) -> None:
+        """Begin an interval of counting; what was counted before does not belong to it."""
+        self._answers = 0
+
     def end_interval(self, interval_ms: float) -> None:
         """End an interval of counting.
 
--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -143,9 +143,10 @@
         """Record that an admitted request has its final answer; `value` if it is served."""
         if self._open.pop(pending, None) is None:
             return
-        self.rate.record_answer(self.clock() - pending.admitted_at)
         if value is not None:
-            self._stuck.record_served(pending.shard, pending.admitted_at, self.clock())
+            now = self.clock()
+            self.rate.record_answer(now - pending.admitted_at)
+            self._stuck.record_served(pending.shard, pending.admitted_at, now)
             self.answer_sizes.record(pending.request_class, len(value))
 
     def forget(self, client: ClientConnection) -> None:
@@ -318,6 +319,8 @@
     def _start_checks(self) -> None:
         if self._timer is None:
             self._checked_at = self.clock()
+            self.rate.begin_interval()
+            self._is_behind = False  # the last shortage says nothing of this one
             self._schedule_check()
 
     def _schedule_check(self) -> None:
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -9,7 +9,7 @@
 from cressrock.lab.platform import answer
 from cressrock.resp import codec
 from cressrock.resp.codec import ErrorReply
-from cressrock.resp.memory_account import MIB, MIN_STUCK_MS, MemoryBounds
+from cressrock.resp.memory_account import MIB, MIN_STUCK_MS, MemoryBounds, ServiceRate
 from cressrock.resp.memory_admission import SMALL_INPUT_BYTES
 from tests.test_platform import async_test, read, request_id, running_program, write
 from tests.test_platform_connections import as_client, connect_raw
@@ -201,6 +201,38 @@
         assert admission._is_waiting_too_long(deadline - 1000)
 
 
+def test_a_long_calm_time_says_nothing_of_the_rate_in_a_shortage():
+    """Regression: all answers since the last shortage were counted into its first interval."""
+    rate = ServiceRate()
+    for _ in range(100_000):
+        rate.record_answer(1.0)
+    rate.begin_interval()
+    for _ in range(50):
+        rate.record_answer(1.0)
+    rate.end_interval(50.0)
+    assert rate.answers_per_ms == 1.0
+
+
+@async_test
+async def test_a_shortage_begins_with_what_is_known_of_it():
+    """Regression: a shortage was judged by the end of the one before, and by all answers since."""
+    servers = Servers()
+    async with running_program(servers.slow, servers.quick) as s:
+        bound_memory(s, 2 * MIB)
+        admission = s.program.front.admission
+        client = await s.client()
+        client.parser = codec.ReplyParser(1 << 20)
+        for number in range(50):
+            assert await client.ask(read(number, shard=1)) == request_id(number) + VALUE
+        admission._is_behind = True  # as a shortage may have left it
+        client.send(read(100), *(read(number, shard=1) for number in range(101, 160)))
+        await s.until(lambda: admission.waiting_count)
+        assert not admission._is_behind
+        rate = admission.rate.answers_per_ms
+        await asyncio.sleep(0.2)
+        assert admission.rate.answers_per_ms <= max(rate, 1.0)
+
+
 @async_test
 async def test_requests_to_a_shard_that_is_stuck_make_room_for_others_at_once():
     """Regression: each waited in turn until it counted as stuck, and the others' time was over by then."""
