--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -96,9 +96,10 @@
             if client.is_flushed() or now - client.active_at > self.bounds.write_timeout_ms:
                 self._close(client)
         for client in list(self.clients):
+            if not client.is_reading and not client.transport.is_closing() and client.peer_has_closed():
+                self._on_client_left(client)  # its end would be read only once reading resumes
+                client.resume_reading()
             if client.blocked_since is not None:
-                if client.peer_has_closed():
-                    self._on_client_left(client)
                 if now - client.blocked_since > self.bounds.write_timeout_ms:
                     self.unread_closed_count += 1
                     client.transport.abort()
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from cressrock.dispatch.ledger import Verdict
 from cressrock.lab.memory_drill import MemoryDrill, MemoryPlay, Requests, Trouble
 from cressrock.lab.platform import answer
 from cressrock.resp import codec
@@ -13,6 +14,7 @@
 from cressrock.resp.memory_admission import SMALL_INPUT_BYTES
 from tests.test_platform import async_test, read, request_id, running_program, write
 from tests.test_platform_connections import as_client, connect_raw
+from tests.test_platform_disconnects import LEAVING
 
 VALUE = b"v" * 65536
 
@@ -169,6 +171,28 @@
         assert not front.open_ids
 
 
+@pytest.mark.parametrize("leave", LEAVING, ids=lambda leave: leave.__name__)
+@async_test
+async def test_a_client_that_leaves_while_its_input_waits_is_noticed(leave):
+    """Regression: its reading was paused, so its end was not read, and its requests and room were kept."""
+    servers = Servers()
+    async with running_program(servers.slow, servers.quick) as s:
+        account, front = bound_memory(s, 2 * MIB), s.program.front
+        taken = account.bounds.max_bytes - 2 * len(VALUE)  # room for one request
+        account.change(taken)
+        # A keyed write that may have run cannot be rejected to let the others go on.
+        sock = connect_raw(s)
+        sock.sendall(write(1, b"x") + write(2, VALUE, shard=1))
+        await s.until(lambda: servers.withheld and front.admission.counts.paused)
+        leave(sock)
+        front.sweep()
+        assert not front.open_ids
+        await s.until(lambda: not front.clients)
+        assert account.held_bytes == taken
+        assert s.program.driver.ledger.answer_counts[Verdict.LEFT] >= 1
+        sock.close()
+
+
 @async_test
 async def test_what_waits_at_the_end_of_the_process_is_answered():
     servers = Servers()
