--- a/cressrock/resp/client_connection.py
+++ b/cressrock/resp/client_connection.py
@@ -187,6 +187,13 @@
             self.hold(-granted_bytes)
         return granted_bytes
 
+    def _drop_input(self) -> None:
+        """Forget the command that was arriving; no further input is accepted."""
+        self.release_grant()
+        self.parser = codec.CommandParser()
+        self.hold(-self.input_bytes)
+        self.input_bytes = 0
+
     def _pace_reading(self) -> None:
         """Stop reading while commands remain to be processed, or while there is no room for the next one."""
         may_read_on = self.is_ending or self.front.admission.may_read_on(self)
@@ -358,6 +365,7 @@
         if self.queue or self in self.front.lingering or self.transport.is_closing():
             return
         self.front._linger(self)
+        self._drop_input()
         with suppress(OSError):
             self.transport.write_eof()  # after all pending output
         self.transport.resume_reading()  # to discard further input
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -193,6 +193,24 @@
         sock.close()
 
 
+@async_test
+async def test_a_command_that_never_ends_holds_no_room_after_its_connection_was_ended():
+    """Regression: room for the rest of the command was kept until the peer had closed too."""
+    servers = Servers()
+    async with running_program(servers.slow, servers.quick) as s:
+        account, front = bound_memory(s, 2 * MIB), s.program.front
+        client = await s.client()
+        client.send(write(1, VALUE)[:40000])
+        await s.until(lambda: account.held_bytes > len(VALUE))
+        clock = front.clock
+        front.clock = lambda: clock() + front.bounds.idle_timeout_ms + 1
+        front.sweep()
+        front.clock = clock
+        assert isinstance(await client.reply(), ErrorReply)
+        assert len(front.lingering) == 1
+        assert account.held_bytes == 0
+
+
 @async_test
 async def test_what_waits_at_the_end_of_the_process_is_answered():
     servers = Servers()
