--- a/cressrock/resp/client_connection.py
+++ b/cressrock/resp/client_connection.py
@@ -286,6 +286,7 @@
     def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002
         """Release what is held for the connection."""
         self.is_ending = True
+        self._set_unread(0)
         self.front._on_lost(self)
 
     def pause_writing(self) -> None:
@@ -293,7 +294,8 @@
         self.blocked_since = self.front.clock()
         self._update_unread()
         self.pause_reading()
-        self.front._limit_unread()
+        if self.front.unread_bytes > self.front.bounds.max_unread_bytes:
+            self.front._limit_unread()
 
     def resume_writing(self) -> None:
         """Handle that the kernel has taken all that was written."""
@@ -303,9 +305,12 @@
         self.resume_reading()
 
     def _update_unread(self) -> None:
-        unread_bytes = self.transport.get_write_buffer_size()
+        self._set_unread(self.transport.get_write_buffer_size())
+
+    def _set_unread(self, unread_bytes: int) -> None:
         if unread_bytes != self.unread_bytes:
             delta_bytes, self.unread_bytes = unread_bytes - self.unread_bytes, unread_bytes
+            self.front.unread_bytes += delta_bytes
             self.hold(delta_bytes)
 
     def flush(self) -> None:
--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -79,6 +79,7 @@
         self.refused_command_count = 0
         self.evicted_count = 0  # connections closed for a new one
         self.closed_idle_count = 0  # idle connections ended because of `max_active_connections`
+        self.unread_bytes = 0  # written and not taken by the kernel, over all connections
         self.unread_closed_count = 0  # connections closed because their client does not read
         # Attempts not started because the kernel reported a disconnect that had not been read yet.
         self.unread_disconnect_count = 0
--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -150,15 +150,15 @@
             self.answer_sizes.record(pending.request_class, len(value))
 
     def forget(self, client: ClientConnection) -> None:
-        """Forget what waits of a connection that has ended."""
+        """Release what is held for a connection whose client has left, but for what its transport holds."""
         for pending in list(client.waiting.requests):
             self._remove_waiting(client, pending)
         client.waiting.input_bytes = 0
         self._waiting.pop(client, None)
         for pending in client.queue:
             self._open.pop(pending, None)
-        client.granted_bytes = client.input_bytes = client.unread_bytes = 0
-        client.hold(-client.held_bytes)
+        client.granted_bytes = client.input_bytes = 0
+        client.hold(client.unread_bytes - client.held_bytes)
 
     def _wanted_bytes(self, pending: PendingAnswer) -> int:
         room_for_answer = self.answer_sizes.expected_bytes(pending.request_class)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -22,6 +22,7 @@
 from cressrock.platform.config import parse
 from cressrock.platform.program import Program
 from cressrock.resp import codec
+from cressrock.resp import front as front_module
 from cressrock.resp.codec import ErrorReply, StatusReply
 from cressrock.resp.connection_pool import PoolBounds, RespTransport, _Connection, _InFlightAttempt
 from cressrock.resp.front import Front, FrontBounds
@@ -705,6 +706,25 @@
     assert [c.transport.closed for c in clients] == [True, False, False]
 
 
+def test_a_client_that_is_slow_does_not_cost_a_scan_of_all(monkeypatch):
+    """Regression: each write that the kernel did not take at once scanned all connections."""
+    scans = []
+    monkeypatch.setattr(front_module, "choose_unread", lambda *_: scans.append(1) or [])
+    bounds = FrontBounds(max_connections=9, max_active_connections=9, max_unread_bytes=100)
+    front = Front(CommandReader(*READER), None, bounds, lambda: 0.0)
+    client = front.create_protocol()
+    client.transport = RecordingTransport()
+    front.clients[client] = None
+    client.transport.held = 100
+    for _ in range(10):
+        client.pause_writing()
+        client.resume_writing()
+    assert not scans
+    client.transport.held = 101
+    client.pause_writing()
+    assert scans
+
+
 @async_test
 async def test_idle_connections_over_the_limit_are_closed():
     """Otherwise idle connections would use up the limit on connections."""
