--- a/cressrock/lab/memory_drill.py
+++ b/cressrock/lab/memory_drill.py
@@ -71,6 +71,7 @@
     hang_s: float = 1.5
     troubled_servers: int = 1
     seed: int = 1
+    value_bytes: int = VALUE_BYTES  # of reads and writes of the crowd
 
 
 @dataclass(slots=True)
@@ -311,11 +312,13 @@
         )
         request_class = "quick" if is_quick else "store" if is_write else "crowd"
         deadline_ms = QUICK_DEADLINE_MS if is_quick else CROWD_DEADLINE_MS
-        self.sizes[name] = SHORT_BYTES if is_quick or is_write else VALUE_BYTES
+        self.sizes[name] = SHORT_BYTES if is_quick or is_write else self.play.value_bytes
         shard = self.random.randrange(SERVERS)
         names = f"c={request_class},t=gold,d={deadline_ms},volume={number:016x},units=1,shard={shard},hosts=1"
         words = [b"IO.OUT" if is_write else b"IO.IN", PIECE, name, names.encode()]
-        return name, codec.command(*words, *([name * (VALUE_BYTES // len(name))] if is_write else []))
+        return name, codec.command(
+            *words, *([name * (self.play.value_bytes // len(name))] if is_write else [])
+        )
 
     async def _quick_client(self, number: int) -> None:
         """Send a short read, wait for its answer, pause; until the play is over."""
--- a/cressrock/resp/client_connection.py
+++ b/cressrock/resp/client_connection.py
@@ -74,6 +74,7 @@
         "received_at",
         "backlog_since",
         "is_reading",
+        "is_processing_later",
         "is_refusing_input",
         "is_ending",
         "held_bytes",
@@ -97,6 +98,7 @@
         # While this side did not read, input waited in the kernel; its time counts from when reading stopped.
         self.backlog_since: float | None = None
         self.is_reading = True
+        self.is_processing_later = False  # buffered commands are processed in the next iteration of the loop
         self.is_refusing_input = False  # the input that has waited too long for room
         self.is_ending = False  # no more input is accepted; open requests are still answered
         self.held_bytes = 0  # in the account of memory; the following three are part of it
@@ -203,13 +205,25 @@
             self.hold(delta_bytes)
         if self.transport.is_closing():
             return
-        if self.parser.has_more and not self.is_ending:
+        if self.is_ending:
+            return
+        if self.parser.has_more:
             self.pause_reading()
-            asyncio.get_running_loop().call_soon(self._process_more)
-        elif not may_read_on or len(self.queue) >= MAX_QUEUED_ANSWERS:
+            self._process_later()
+        elif not may_read_on or not self._may_go_on():
             self.pause_reading()
 
+    def _may_go_on(self) -> bool:
+        """Return whether further commands may be processed, buffered ones or such as the kernel holds."""
+        return len(self.queue) < MAX_QUEUED_ANSWERS and not self.front.admission.must_wait(self)
+
+    def _process_later(self) -> None:
+        if self._may_go_on() and not self.is_processing_later:
+            self.is_processing_later = True
+            asyncio.get_running_loop().call_soon(self._process_more)
+
     def _process_more(self) -> None:
+        self.is_processing_later = False
         if self.is_ending or self.transport.is_closing():
             return
         self._process(b"")
@@ -224,15 +238,12 @@
                 self.backlog_since = self.front.clock()
 
     def resume_reading(self) -> None:
-        """Resume reading, unless there is a reason not to."""
-        if (
-            not self.is_reading
-            and self.blocked_since is None
-            and not self.parser.has_more
-            and not self.waiting.input_bytes
-            and len(self.queue) < MAX_QUEUED_ANSWERS
-            and not self.transport.is_closing()
-        ):
+        """Resume reading, unless there is a reason not to; commands that are buffered come first."""
+        if self.is_reading or self.transport.is_closing():
+            return
+        if self.parser.has_more and not self.is_ending:
+            self._process_later()
+        elif self.blocked_since is None and not self.waiting.input_bytes and self._may_go_on():
             self.is_reading = True
             self.active_at = self.front.clock()  # until now, this side kept the client from going on
             self.transport.resume_reading()
--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -175,9 +175,21 @@
         client.waiting.requests.remove(pending)
         self.account.change_waiting(-WAITING_REQUEST_BYTES - pending.value_bytes())
         self.waiting_count -= 1
+        if not client.waiting.requests:
+            client.resume_reading()
 
     # --- input
 
+    def must_wait(self, client: ClientConnection) -> bool:
+        """Return whether a connection is to wait for its requests before it sends more.
+
+        Otherwise the commands of a few would fill the room for commands that wait, and those of others, and
+        their own further ones, would be refused at once.
+        """
+        if not client.waiting.requests or self.is_refusing:
+            return False
+        return self.account.waiting_bytes > self.account.bounds.max_waiting_bytes / 2
+
     def may_read_on(self, client: ClientConnection) -> bool:
         """Return whether the rest of a connection's next command may be read.
 
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -78,6 +78,22 @@
             assert await other.ask(read(number, shard=1)) == request_id(number) + VALUE
 
 
+@async_test
+async def test_small_values_wait_in_the_kernel_where_the_room_for_commands_is_short():
+    """Regression: commands filled the room for commands that wait, and all others were refused at once."""
+    servers = Servers()
+    async with running_program(servers.slow, servers.quick) as s:
+        account = bound_memory(s, 2 * MIB)
+        clients = [await s.client() for _ in range(16)]
+        for index, client in enumerate(clients):
+            client.parser = codec.ReplyParser(1 << 20)
+            client.send(*(write(100 * index + n, VALUE[:8192], shard=1) for n in range(40)))
+        for index, client in enumerate(clients):
+            for n in range(40):
+                assert await client.reply() == request_id(100 * index + n) + VALUE
+        assert account.highest_bytes <= account.bounds.total_bytes + len(clients) * SMALL_INPUT_BYTES
+
+
 @async_test
 async def test_values_of_writes_wait_in_the_kernel_while_there_is_no_room():
     """Regression (review/2, earlier form): values of waiting writes had no bound."""
