--- a/cressrock/resp/client_connection.py
+++ b/cressrock/resp/client_connection.py
@@ -229,6 +229,11 @@
         self._process(b"")
         self.resume_reading()
 
+    def answer_buffered(self) -> None:
+        """Process all commands that are buffered."""
+        while self.parser.has_more and not self.is_ending:
+            self._process(b"")
+
     def pause_reading(self) -> None:
         """Leave further input in the kernel."""
         self.transport.pause_reading()
--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -131,7 +131,13 @@
                 client.end()
 
     def close_all(self) -> None:
-        """End every connection; called once all requests have been answered."""
+        """End every connection; called once all requests have been answered.
+
+        Commands that were read and wait in a parser are refused first.
+        """
+        self.admission.is_closed = True
+        for client in list(self.clients):
+            client.answer_buffered()
         self.close_idle()
         for client in list(self.clients):
             if not client.transport.is_closing():
--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -99,6 +99,7 @@
         self.waiting_count = 0
         self.refuse_all_at = INFINITE_MS  # set while the process ends
         self.is_refusing = False  # nothing waits any more: what there is no room for is refused
+        self.is_closed = False  # all requests are refused
         self._waiting: dict[ClientConnection, None] = {}  # whose turn is next comes first
         self._open: dict[PendingAnswer, ClientConnection] = {}  # admitted and unanswered, oldest first
         self._stuck = StuckRequests()
@@ -116,6 +117,9 @@
     def accept(self, client: ClientConnection, pending: PendingAnswer, request: Request) -> None:
         """Admit a request whose command has arrived, let it wait, or refuse it."""
         granted_bytes = client.release_grant()
+        if self.is_closed:
+            self.refuse(client, pending)
+            return
         is_oldest = client.queue[0] is pending
         if granted_bytes or (
             client.waiting.is_empty()
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -426,6 +426,35 @@
         await s.task
 
 
+@async_test
+async def test_commands_that_were_read_are_answered_as_the_process_ends(monkeypatch):
+    """Regression: commands that stayed in the parser behind many answers were lost."""
+    set_stopping_times(
+        monkeypatch,
+        ACCEPT_AFTER_SIGTERM_MS=0.0,
+        MAX_DEADLINE_WAIT_MS=100.0,
+        KILL_ALLOWANCE_MS=20_000.0,
+        ANSWER_LEAD_MS=19_900.0,
+        EXIT_LEAD_MS=0.0,
+    )
+    async with running_program(lambda words: None) as s:
+        sock = connect_raw(s)
+        pings = codec.command(b"PING") * 400
+        sock.sendall(read(1) + pings + read(2))
+        await s.until(lambda: any(c.parser.has_more and not c.is_reading for c in s.program.front.clients))
+        await asyncio.sleep(0.05)
+        (client,) = s.program.front.clients
+        assert client.parser.has_more  # the answers to those before it wait for the first one
+        os.kill(os.getpid(), signal.SIGTERM)
+        replies = await read_until_end(await as_client(s, sock))
+        assert len(replies) == 402
+        assert isinstance(replies[0], ErrorReply)
+        assert replies[1:401] == [StatusReply("PONG")] * 400
+        assert isinstance(replies[401], ErrorReply)
+        s.clients[-1].writer.close()
+        await s.task
+
+
 @async_test
 async def test_each_open_request_is_answered_once_after_two_sigterms(monkeypatch):
     set_stopping_times(
