--- a/cressrock/resp/client_connection.py
+++ b/cressrock/resp/client_connection.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, cast
 
 from cressrock.resp import codec
+from cressrock.resp.memory_account import ANSWER_BYTES
 from cressrock.resp.memory_admission import WaitingRequests, read_limit
 from cressrock.resp.receive_buffer import SharedBufferProtocol, shared_buffer
 from cressrock.resp.request import VALUE_INDEX
@@ -163,7 +164,7 @@
             self.release_grant()
         if exc is not None:
             front.invalid_input_count += 1
-            self.queue.append(PendingAnswer(codec.error(f"ERR Protocol error: {exc}")))
+            self.queue_answer(codec.error(f"ERR Protocol error: {exc}"))
             self.release_grant()
             self.is_ending = True
             front.idle_clients.pop(self, None)
@@ -229,6 +230,12 @@
         self._process(b"")
         self.resume_reading()
 
+    def queue_answer(self, data: bytes) -> None:
+        """Queue an answer that is known at once."""
+        pending = PendingAnswer(data)
+        pending.hold(self, ANSWER_BYTES + len(data))
+        self.queue.append(pending)
+
     def answer_buffered(self) -> None:
         """Process all commands that are buffered."""
         while self.parser.has_more and not self.is_ending:
--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -19,7 +19,7 @@
 from cressrock.resp.client_connection import ClientConnection, PendingAnswer
 from cressrock.resp.eviction import choose_eviction, choose_unread
 from cressrock.resp.lingering import LingerBounds, Lingering
-from cressrock.resp.memory_account import MemoryBounds
+from cressrock.resp.memory_account import ANSWER_BYTES, MemoryBounds
 from cressrock.resp.memory_admission import MemoryAdmission
 from cressrock.resp.request import READ, WRITE, CommandReader, InvalidCommandError, Request
 
@@ -268,15 +268,15 @@
         if verb == READ or verb == WRITE:
             self._process_request(client, words)
         elif verb == b"PING" and len(words) == 1:
-            client.queue.append(PendingAnswer(codec.status("PONG")))
+            client.queue_answer(codec.status("PONG"))
         elif verb in (b"CLIENT", b"SELECT"):
-            client.queue.append(PendingAnswer(codec.status("OK")))
+            client.queue_answer(codec.status("OK"))
         else:
             self._answer_error(client, "unknown command")
 
     def _answer_error(self, client: ClientConnection, text: str) -> None:
         self.refused_command_count += 1
-        client.queue.append(PendingAnswer(codec.error(f"ERR {text}")))
+        client.queue_answer(codec.error(f"ERR {text}"))
 
     def _read_request(self, client: ClientConnection, words: list[bytes]) -> Request | None:
         """Return a command's request, or answer with an error and return None."""
@@ -297,7 +297,7 @@
             return
         if len(client.queue) >= self.bounds.max_pipeline:
             denial = self.driver.deny_for_lack_of_room(request)
-            client.queue.append(PendingAnswer(_encode_denial(denial)))
+            client.queue_answer(_encode_denial(denial))
             return
         pending = PendingAnswer()
         pending.words = request.words
@@ -315,7 +315,7 @@
         if request is not None:
             self.admission.counts.refused += 1
             denial = self.driver.deny_for_lack_of_room(request)
-            client.queue.append(PendingAnswer(_encode_denial(denial)))
+            client.queue_answer(_encode_denial(denial))
 
     def _submit(self, client: ClientConnection, pending: PendingAnswer, request: Request) -> None:
         """Pass an admitted request to the driver."""
@@ -344,7 +344,7 @@
         self.admission.record_answer(pending, None if is_denied else result)
         self._forget(pending)
         pending.data = _encode_denial(result) if is_denied else codec.bulk(result)
-        pending.hold(client, len(pending.data))
+        pending.hold(client, ANSWER_BYTES + len(pending.data))
 
     def _forget(self, pending: PendingAnswer) -> None:
         pending.name = ""
--- a/cressrock/resp/memory_account.py
+++ b/cressrock/resp/memory_account.py
@@ -27,6 +27,7 @@
 FREE_ROOM_MULTIPLE = 2.0  # of what is free, held by one connection
 
 WAITING_REQUEST_BYTES = 640  # a parsed command that waits, without its value
+ANSWER_BYTES = 192  # an answer that waits in its connection's queue, without its text
 REQUEST_BYTES = 4096  # an open request with all that is kept of it, without its value
 
 ANSWER_DECAY = 1 / 64  # of the difference to a smaller answer
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import sys
 
 import pytest
 
@@ -9,6 +10,7 @@
 from cressrock.lab.memory_drill import MemoryDrill, MemoryPlay, Requests, Trouble
 from cressrock.lab.platform import answer
 from cressrock.resp import codec
+from cressrock.resp.client_connection import PendingAnswer
 from cressrock.resp.codec import ErrorReply
 from cressrock.resp.memory_account import MIB, MIN_STUCK_MS, MemoryBounds, ServiceRate
 from cressrock.resp.memory_admission import SMALL_INPUT_BYTES
@@ -112,6 +114,22 @@
         assert account.highest_bytes <= account.bounds.total_bytes + len(clients) * SMALL_INPUT_BYTES
 
 
+@async_test
+async def test_answers_of_a_few_bytes_count_with_what_they_take():
+    """Regression: only the bytes of an answer were accounted for, not the entry that holds it."""
+    servers = Servers()
+    async with running_program(servers.slow, servers.quick) as s:
+        account = bound_memory(s, 2 * MIB)
+        clients = [await s.client() for _ in range(8)]
+        for number, client in enumerate(clients):
+            client.send(write(number, b"x"), codec.command(b"PING") * 1000)
+        front = s.program.front
+        await s.until(lambda: sum(len(client.queue) for client in front.clients) >= 8 * 256)
+        open_bytes = sum(client.queue[0].held_bytes for client in front.clients)
+        queued = sum(len(client.queue) - 1 for client in front.clients)
+        assert account.held_bytes - open_bytes >= queued * sys.getsizeof(PendingAnswer())
+
+
 @async_test
 async def test_what_waits_for_room_is_refused_before_its_time_is_over():
     servers = Servers()
