--- a/cressrock/dispatch/driver.py
+++ b/cressrock/dispatch/driver.py
@@ -240,6 +240,11 @@
         )
         return True
 
+    def has_attempt_in_flight(self, name: str) -> bool:
+        """Return whether an attempt of an operation has no outcome yet; its client may have left."""
+        entry = self.ledger.entries.get(name)
+        return entry is not None and entry.attempt_in_flight() is not None
+
     def shed(self, name: str) -> bool:
         """Reject an operation for lack of memory, sent or not; return False where that is not allowed.
 
--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -92,6 +92,7 @@
         """Close idle and lingering connections, and those whose client does not read its answers."""
         now = self.clock()
         self._limit_unread()
+        self.admission.release_ended()
         for client in self.lingering.expired(now):
             # Output still being sent gets more time, but no longer than the write timeout.
             if client.is_flushed() or now - client.active_at > self.bounds.write_timeout_ms:
--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -102,6 +102,7 @@
         self.is_closed = False  # all requests are refused
         self._waiting: dict[ClientConnection, None] = {}  # whose turn is next comes first
         self._open: dict[PendingAnswer, ClientConnection] = {}  # admitted and unanswered, oldest first
+        self._unfinished: dict[str, int] = {}  # bytes of values that only an attempt has, by request
         self._stuck = StuckRequests()
         self._is_behind = False  # what waits can hardly be served in time
         self._is_limited = False  # answers are read for some requests only
@@ -147,7 +148,9 @@
         """Record that an admitted request has its final answer; `value` if it is served."""
         if self._open.pop(pending, None) is None:
             return
-        if value is not None:
+        if value is None:
+            self._hold_until_ended(pending)
+        else:
             now = self.clock()
             self.rate.record_answer(now - pending.admitted_at)
             self._stuck.record_served(pending.shard, pending.admitted_at, now)
@@ -160,10 +163,24 @@
         client.waiting.input_bytes = 0
         self._waiting.pop(client, None)
         for pending in client.queue:
-            self._open.pop(pending, None)
+            if self._open.pop(pending, None) is not None:
+                self._hold_until_ended(pending)
         client.granted_bytes = client.input_bytes = 0
         client.hold(client.unread_bytes - client.held_bytes)
 
+    def _hold_until_ended(self, pending: PendingAnswer) -> None:
+        """Hold the value of a request that is over for its client as long as an attempt has it."""
+        value_bytes = pending.value_bytes()
+        if value_bytes and self.driver.has_attempt_in_flight(pending.name):
+            self._unfinished[pending.name] = value_bytes
+            self.account.change(value_bytes)
+
+    def release_ended(self) -> None:
+        """Release the values of requests whose attempts have ended since."""
+        for name in [name for name in self._unfinished if not self.driver.has_attempt_in_flight(name)]:
+            self.account.change(-self._unfinished.pop(name))
+            self.on_release()
+
     def _wanted_bytes(self, pending: PendingAnswer) -> int:
         room_for_answer = self.answer_sizes.expected_bytes(pending.request_class)
         return REQUEST_BYTES + pending.value_bytes() + room_for_answer
@@ -350,6 +367,7 @@
         self.rate.end_interval(interval_ms)
         self._stuck.record_check(interval_ms, now)
         self._checked_at = now
+        self.release_ended()
         self._is_behind = self._is_waiting_too_long(now)
         if self._is_behind or self._is_limited:
             self._shed_stuck(now, only_oldest=not self._is_behind)
