--- a/cressrock/resp/memory_account.py
+++ b/cressrock/resp/memory_account.py
@@ -96,6 +96,10 @@
         """Return whether more is held than the bounds."""
         return self.held_bytes + self.waiting_bytes > self.bounds.total_bytes
 
+    def is_short(self) -> bool:
+        """Return whether over half of the bound is held."""
+        return 2 * self.held_bytes > self.bounds.max_bytes
+
     def may_wait(self, command_bytes: int) -> bool:
         """Return whether one more command may wait."""
         return self.waiting_bytes + command_bytes <= self.bounds.max_waiting_bytes
--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -37,6 +37,7 @@
 LONG_PAUSE_FRACTION = 0.125  # the same, after which requests that are stuck at servers are rejected
 LOG_PAUSE_MS = 1000.0  # without anything waiting, before the next shortage is logged
 SMALL_INPUT_BYTES = 16384  # of a connection's next command, read without asking for room
+SHORT_READ_BYTES = 4096  # of a connection at once while memory is short
 
 
 @dataclass(slots=True)
@@ -481,4 +482,5 @@
     missing_bytes = client.parser.needed_bytes - client.parser.buffered_bytes
     if client.granted_bytes and missing_bytes > 0:
         return min(missing_bytes, RECEIVE_BYTES)
-    return SMALL_INPUT_BYTES
+    # While memory is short, hundreds of connections would fill it with the beginnings of their commands.
+    return SHORT_READ_BYTES if client.front.admission.account.is_short() else SMALL_INPUT_BYTES
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -14,7 +14,7 @@
 from cressrock.resp.client_connection import PendingAnswer
 from cressrock.resp.codec import ErrorReply
 from cressrock.resp.memory_account import MIB, MIN_STUCK_MS, MemoryBounds, ServiceRate
-from cressrock.resp.memory_admission import SMALL_INPUT_BYTES
+from cressrock.resp.memory_admission import SHORT_READ_BYTES, SMALL_INPUT_BYTES
 from tests.test_platform import async_test, read, request_id, running_program, write
 from tests.test_platform_connections import as_client, connect_raw
 from tests.test_platform_disconnects import LEAVING
@@ -81,6 +81,22 @@
             assert await other.ask(read(number, shard=1)) == request_id(number) + VALUE
 
 
+@async_test
+async def test_the_beginnings_of_many_commands_do_not_fill_the_memory():
+    """Regression: 16 KiB of each connection's next command were read while there was no room for any."""
+    servers = Servers()
+    async with running_program(servers.slow, servers.quick) as s:
+        account, front = bound_memory(s, 2 * MIB), s.program.front
+        taken = account.bounds.max_bytes // 2 + 1
+        account.change(taken)
+        clients = [await s.client() for _ in range(64)]
+        for number, client in enumerate(clients):
+            client.send(write(number, VALUE, shard=0))
+        await s.until(lambda: front.admission.counts.paused + len(servers.withheld) >= len(clients))
+        held_by_input = sum(client.input_bytes for client in front.clients)
+        assert held_by_input <= len(clients) * SHORT_READ_BYTES
+
+
 @async_test
 async def test_small_values_wait_in_the_kernel_where_the_room_for_commands_is_short():
     """Regression: commands filled the room for commands that wait, and all others were refused at once."""
