--- a/cressrock/platform/program.py
+++ b/cressrock/platform/program.py
@@ -14,6 +14,7 @@
 import sys
 import time
 from collections import Counter
+from collections.abc import Callable
 
 import anyio
 
@@ -146,10 +147,20 @@
 class Program:
     """One dispatcher process on the platform: assembles the parts, runs and stops them."""
 
-    def __init__(self, config: Config, path: str) -> None:
-        """`path` is the configuration file's, which is reloaded on SIGHUP."""
+    def __init__(
+        self,
+        config: Config,
+        path: str,
+        *,
+        measure_memory: Callable[[], int] = process_memory.private_bytes,
+    ) -> None:
+        """`path` is the configuration file's, which is reloaded on SIGHUP.
+
+        `measure_memory` returns the bytes that the process has of its own as it begins to serve.
+        """
         self.config = config
         self.path = path
+        self.measure_memory = measure_memory
         self.log = Log(config.name)
         self.observer = Observer(self.log)
         settings = config.settings
@@ -283,7 +294,7 @@
     def _bound_memory(self) -> None:
         """Bound what is held for clients by the memory that this process does not need itself."""
         limit_bytes = int(self.config.memory_mb * MIB)
-        process_bytes = process_memory.private_bytes()
+        process_bytes = self.measure_memory()
         bounds = MemoryBounds.of_process(limit_bytes, process_bytes)
         self.front.admission.account.bounds = bounds
         self.log(
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -27,9 +27,11 @@
 from cressrock.resp.connection_pool import PoolBounds, RespTransport, _Connection, _InFlightAttempt
 from cressrock.resp.front import Front, FrontBounds
 from cressrock.resp.lingering import LingerBounds
+from cressrock.resp.memory_account import MIB
 from cressrock.resp.request import CommandReader
 
 PIECE = b"7f3a9c21e0b4d655"
+DISPATCHER_BYTES = 24 * MIB  # of a process of its own as it begins to serve
 
 
 def names(c="read", d=4000, shard=0, **more):
@@ -103,7 +105,9 @@
     servers = [await StorageServer(script).start() for script in scripts or (echo,)]
     for index, server in enumerate(servers):
         discovery.put(f"s{index}", server.address, index)
-    program = Program(parse(json.dumps(config(discovery, **changes))), "")
+    program = Program(
+        parse(json.dumps(config(discovery, **changes))), "", measure_memory=lambda: DISPATCHER_BYTES
+    )
     task = asyncio.create_task(program.run())
     found = RunningProgram(discovery, servers, program, task)
     await found.until(lambda: program.address is not None or task.done())
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -15,7 +15,7 @@
 from cressrock.resp.codec import ErrorReply
 from cressrock.resp.memory_account import MIB, MIN_STUCK_MS, MemoryBounds, ServiceRate
 from cressrock.resp.memory_admission import SHORT_READ_BYTES, SMALL_INPUT_BYTES
-from tests.test_platform import async_test, read, request_id, running_program, write
+from tests.test_platform import DISPATCHER_BYTES, async_test, read, request_id, running_program, write
 from tests.test_platform_connections import as_client, connect_raw
 from tests.test_platform_disconnects import LEAVING
 
@@ -46,6 +46,15 @@
     return account
 
 
+@async_test
+async def test_the_bound_of_a_program_under_test_does_not_depend_on_the_memory_of_the_test_process():
+    """Regression: a worker that had run many tests left its program 2 MiB, and requests were refused."""
+    async with running_program() as s:
+        limit_bytes = int(s.program.config.memory_mb * MIB)
+        bounds = MemoryBounds.of_process(limit_bytes, DISPATCHER_BYTES)
+        assert s.program.front.admission.account.bounds == bounds
+
+
 @async_test
 async def test_answers_behind_a_hung_server_stay_within_the_bound_and_all_arrive():
     """Regression (review/2): answers that waited behind others had no bound, and the process was killed."""
