--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -32,7 +32,9 @@
 if TYPE_CHECKING:
     from cressrock.resp.client_connection import ClientConnection, PendingAnswer
 
-REFUSAL_LEAD_MS = 250.0  # a waiting request is refused this long before its deadline
+MAX_REFUSAL_LEAD_MS = 250.0  # a waiting request is refused this long before its deadline
+MIN_REFUSAL_LEAD_MS = 2 * CHECK_INTERVAL_MS  # the same, so that its refusal is in time
+REFUSAL_LEAD_FRACTION = 0.25  # of the time that its client waits, between the two
 MAX_PAUSE_FRACTION = 0.5  # of the time that a client waits: how long its input is not read
 LONG_PAUSE_FRACTION = 0.125  # the same, after which requests that are stuck at servers are rejected
 LOG_PAUSE_MS = 1000.0  # without anything waiting, before the next shortage is logged
@@ -387,7 +389,9 @@
 
     def _refused_at_ms(self, pending: PendingAnswer) -> float:
         """Return when a request is refused if there is no room for it until then."""
-        return min(pending.deadline - REFUSAL_LEAD_MS, self.refuse_all_at)
+        lead_ms = REFUSAL_LEAD_FRACTION * (pending.deadline - pending.received_at)
+        lead_ms = min(max(lead_ms, MIN_REFUSAL_LEAD_MS), MAX_REFUSAL_LEAD_MS)
+        return min(pending.deadline - lead_ms, self.refuse_all_at)
 
     def _refuse_due(self, client: ClientConnection) -> None:
         due = [pending for pending in client.waiting.requests if self.is_refusing or self._is_due(pending)]
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -156,6 +156,25 @@
         assert account.held_bytes - open_bytes >= queued * sys.getsizeof(PendingAnswer())
 
 
+@async_test
+async def test_a_request_whose_client_waits_shortly_gets_room_that_is_released_at_once():
+    """Regression: with 250 ms or less it was refused as it came, although room became free right after."""
+    servers = Servers()
+    async with running_program(servers.slow, servers.quick) as s:
+        account, front = bound_memory(s, 2 * MIB), s.program.front
+        account.change(account.bounds.max_bytes)
+        # Time stands still for what waits, and its deadline is far off for the rest of the program.
+        arrival = front.clock() + 20_000
+        front.clock = front.admission.clock = lambda: arrival
+        client = await s.client()
+        client.parser = codec.ReplyParser(1 << 20)
+        client.send(read(1, shard=1, d=240))
+        await s.until(lambda: front.admission.waiting_count or front.admission.counts.refused)
+        account.change(-account.bounds.max_bytes)
+        front.admission.on_release()
+        assert await client.reply() == request_id(1) + VALUE
+
+
 @async_test
 async def test_what_waits_for_room_is_refused_before_its_time_is_over():
     servers = Servers()
