--- a/cressrock/net.py
+++ b/cressrock/net.py
@@ -140,6 +140,11 @@
             else:
                 self._transport.close()
 
+    def abort(self) -> None:
+        """Close both directions at once, and discard pending output."""
+        if self._transport is not None:
+            self._transport.abort()
+
 
 async def connect(host: str, port: int) -> Stream:
     """Open a TCP connection with Nagle's algorithm disabled.  Raises OSError."""
@@ -222,7 +227,10 @@
     loop = asyncio.get_running_loop()
 
     def connected(stream: TcpStream) -> None:
-        tasks.start_soon(serve, stream)
+        try:
+            tasks.start_soon(serve, stream)
+        except RuntimeError:  # the task group has ended: the process is about to
+            stream.abort()
 
     with report_bind_errors(setting, address):
         server = await loop.create_server(
