--- a/cressrock/lab/drill.py
+++ b/cressrock/lab/drill.py
@@ -85,6 +85,7 @@
     absent: list[tuple[float, float]]  # when no planner was ready and moving, ms
     length_ms: float
     figures: dict[str, float] = field(default_factory=dict)
+    delays: list[str] = field(default_factory=list)  # slow turns and slow disks, by the processes' logs
 
     @property
     def well(self) -> bool:
@@ -399,7 +400,16 @@
         }
         exits = {name: [life.code for life in lives] for name, lives in processes.lives.items()}
         return Report(
-            result, judge(result.trace), findings, exits, counts, self.marks, absent, self.length_ms, figures
+            result,
+            judge(result.trace),
+            findings,
+            exits,
+            counts,
+            self.marks,
+            absent,
+            self.length_ms,
+            figures,
+            processes.delays(),
         )
 
 
--- a/cressrock/lab/processes.py
+++ b/cressrock/lab/processes.py
@@ -30,6 +30,7 @@
 READY_S = 60.0  # the bound of a start; a start takes below a second where there is a core for it
 END_S = 10.0  # how long an orderly end may take before it is a SIGKILL
 MOST_LINES = 200  # of a life's log kept in memory; all of it is in its file
+DELAY_EVENTS = ("event_loop.slow_turn", "state_file.slow_write")  # what made a process late
 
 
 @dataclass(slots=True)
@@ -40,12 +41,14 @@
     number: int
     log: Path
     process: subprocess.Popen[bytes]
+    clock: Callable[[], float]
     began_ms: float
     ready_ms: float = float("inf")
     ended_ms: float = float("inf")  # as the drill saw it
     lines: deque[dict[str, Any]] = field(default_factory=lambda: deque(maxlen=MOST_LINES))
     counts: Counter[str] = field(default_factory=Counter)  # log lines by event
     last: dict[str, tuple[int, dict[str, Any]]] = field(default_factory=dict)  # each event's, and its place
+    delays: deque[str] = field(default_factory=lambda: deque(maxlen=MOST_LINES))  # as text, with their time
     other: deque[str] = field(default_factory=lambda: deque(maxlen=MOST_LINES))  # what is no JSON object
     traces: int = 0
     asked: bool = False  # whether the drill ended it: any other end is a finding
@@ -86,6 +89,8 @@
                     self.lines.append(value)
                     self.last[event] = (sum(self.counts.values()), value)
                     self.counts[event] += 1
+                    if event in DELAY_EVENTS:
+                        self.delays.append(f"{self.clock():.0f} ms, {self.name}: {json.dumps(value)}")
                 else:
                     text = line.decode("utf-8", "replace").rstrip("\n")
                     self.traces += text.startswith("Traceback")
@@ -152,7 +157,8 @@
             stderr=subprocess.PIPE,
             start_new_session=True,
         )
-        life = Life(name, number, self.folder / f"{name}.{number}.log", process, self.clock())
+        log = self.folder / f"{name}.{number}.log"
+        life = Life(name, number, log, process, self.clock, self.clock())
         lives.append(life)
         life.reader = threading.Thread(target=life._read, name=f"log of {name}", daemon=True)
         life.reader.start()
@@ -282,6 +288,10 @@
                 found.append(f"{who} left a trace: {life.tail()[-500:]}")
         return found
 
+    def delays(self) -> list[str]:
+        """Return what the processes logged of slow turns of their event loops and of slow disks."""
+        return [delay for life in self.all() for delay in life.delays]
+
     def waited_ms(self) -> dict[int, float]:
         """Return how long each living process was ready to run and had no core, since its start, by id.
 
--- a/cressrock/programs/composition.py
+++ b/cressrock/programs/composition.py
@@ -22,6 +22,7 @@
 from cressrock.dispatch.task_driver import TaskDriver
 from cressrock.edge.decisions import EdgeDecisions
 from cressrock.interface import NodeList
+from cressrock.observe.event_loop import TurnCounts
 from cressrock.planner.epochs import EpochStore, next_epoch
 from cressrock.presence.connection import MAGIC as PRESENCE_MAGIC
 from cressrock.presence.environment import PresenceEnvironment
@@ -55,6 +56,7 @@
     sockets: Sockets = field(default_factory=SystemSockets)
     allow_threads: bool = True  # blocking calls may run in worker threads; False in simulated time
     state_files: StateFiles = field(default_factory=StateFiles)
+    turns: TurnCounts = field(default_factory=TurnCounts)  # of the event loop, in a process of its own
 
 
 def create_scheduler(settings: Settings, seed: int, now_ms: float) -> DecisionModule:
--- a/cressrock/programs/gateway.py
+++ b/cressrock/programs/gateway.py
@@ -27,6 +27,7 @@
 from cressrock.http.server import Server
 from cressrock.interface import Node, NodeList, NodeState
 from cressrock.observe import admin
+from cressrock.observe.event_loop_metrics import EventLoopCollector
 from cressrock.observe.metrics import Metrics
 from cressrock.observe.state_file_metrics import StateFileCollector
 from cressrock.presence.service import PresenceService
@@ -83,6 +84,7 @@
             log_requests=settings.observe.log_requests,
         )
         self.metrics.registry.register(StateFileCollector(environment.state_files.counts))
+        self.metrics.registry.register(EventLoopCollector(environment.turns))
         self.node_client = create_node_client(settings, environment)
         self.payload_store = PayloadStore(
             memory_bytes=settings.payloads.memory_bytes,
--- a/cressrock/programs/planner.py
+++ b/cressrock/programs/planner.py
@@ -9,6 +9,7 @@
 import anyio
 import msgspec
 from anyio.abc import TaskGroup, TaskStatus
+from prometheus_client import CollectorRegistry, generate_latest
 
 from cressrock import net
 from cressrock.dispatch.node_client import NodeClient
@@ -18,6 +19,8 @@
 from cressrock.interface import NodeList
 from cressrock.link.protocol import LinkLimits
 from cressrock.observe import admin
+from cressrock.observe.event_loop_metrics import EventLoopCollector
+from cressrock.observe.state_file_metrics import StateFileCollector
 from cressrock.planner.epochs import EpochStore, next_epoch
 from cressrock.planner.planner import Planner, PlannerLimits
 from cressrock.planner.server import PlannerServer
@@ -58,8 +61,15 @@
         self.epoch = next_epoch(store.read(), environment.wall_ms())
         store.write(self.epoch)
         self.node_client = create_node_client(settings, environment)
+        self.metrics = CollectorRegistry()
+        self.metrics.register(StateFileCollector(environment.state_files.counts))
+        self.metrics.register(EventLoopCollector(environment.turns))
         self.admin = admin.AdminServer(
-            {b"/healthz": admin.health_page, b"/v1/status": lambda: admin.status_page(self.status())}
+            {
+                b"/healthz": admin.health_page,
+                b"/metrics": lambda: admin.metrics_page(generate_latest(self.metrics)),
+                b"/v1/status": lambda: admin.status_page(self.status()),
+            }
         )
         # Created by `run`; the cluster features only if the settings configure them.
         self.server: PlannerServer | None = None
--- a/cressrock/programs/process.py
+++ b/cressrock/programs/process.py
@@ -13,6 +13,7 @@
 from cressrock.http.server import Server
 from cressrock.observe import logs
 from cressrock.observe.admin import AdminServer
+from cressrock.observe.event_loop import EventLoopMonitor
 from cressrock.programs.composition import SEED_BITS, Environment
 from cressrock.programs.gateway import Gateway
 from cressrock.settings import SettingsError, load
@@ -30,6 +31,7 @@
     log = logs.logger(dispatcher=settings.name)
     gateway = Gateway(settings, _environment(settings, log))
     async with anyio.create_task_group() as tasks:
+        tasks.start_soon(EventLoopMonitor(gateway.environment.turns, log).run)
         await tasks.start(gateway.run)
         address, close = await net.listen(
             settings.front.listen, gateway.serve, tasks, setting="front.listen", log=log
@@ -56,6 +58,7 @@
     log = logs.logger(planner=settings.name)
     planner = PlannerProgram(settings, _environment(settings, log))
     async with anyio.create_task_group() as tasks:
+        tasks.start_soon(EventLoopMonitor(planner.environment.turns, log).run)
         await tasks.start(planner.run)
         address, close = await net.listen(
             settings.pair.listen, planner.serve, tasks, setting="pair.listen", log=log
--- a/tests/compatibility/test_interfaces.py
+++ b/tests/compatibility/test_interfaces.py
@@ -1,5 +1,7 @@
 """Interfaces to operators and their tools are the same as when the fixtures were recorded."""
 
+import copy
+
 import pytest
 
 from tests.compatibility import interfaces_cases as cases
@@ -26,13 +28,32 @@
     assert cases.deploy_file() == RECORDED["deploy"]
 
 
-ADDED_METRICS = {  # since the recording
+ADDED_METRICS = {  # of each process, since the recording
+    "cressrock_event_loop_longest_turn_seconds",
+    "cressrock_event_loop_slow_turn_seconds_total",
+    "cressrock_event_loop_slow_turns_total",
     "cressrock_state_file_writes_total",
     "cressrock_state_file_slow_writes_total",
     "cressrock_state_file_longest_write_seconds",
 }
 
 
+def recorded_admin_port(program):
+    """Return what was recorded of an admin port, with exactly the metrics that came later."""
+    recorded = copy.deepcopy(RECORDED["admin"][program])
+    answers = recorded["answers"]
+    if program == "edge":
+        names = answers["/metrics"][-1]
+        names[:] = sorted({*names, *ADDED_METRICS})
+        return recorded
+    metrics_type = RECORDED["admin"]["edge"]["answers"]["/metrics"][1]
+    answers["/metrics"] = [200, metrics_type, None, sorted(ADDED_METRICS)]
+    for answer in answers.values():
+        if answer[0] == 404:
+            answer[-1] = "/healthz, /metrics or /v1/status\n"
+    return recorded
+
+
 def test_metrics_keep_name_kind_labels_and_bounds():
     assert cases.metrics() == RECORDED["metrics"]
 
@@ -53,10 +74,4 @@
 
 @pytest.mark.parametrize("program", cases.PROGRAMS)
 def test_the_admin_port_answers_the_same_paths_with_the_same_keys(program, tmp_path):
-    found = cases.admin_port(program, tmp_path)
-    if program == "edge":
-        # Metrics that came later are exactly these; all others are as recorded.
-        names = found["answers"]["/metrics"][-1]
-        assert {name for name in names if name in ADDED_METRICS} == ADDED_METRICS
-        names[:] = [name for name in names if name not in ADDED_METRICS]
-    assert found == RECORDED["admin"][program]
+    assert cases.admin_port(program, tmp_path) == recorded_admin_port(program)
--- a/tests/failover/drill_support.py
+++ b/tests/failover/drill_support.py
@@ -47,7 +47,7 @@
     drill = Told(script, (), story=story, extend=common.extend)
     drill.node_zones = {shard: ZONES[shard % 3] for shard in range(6)}
     report = rehearse(drill)
-    assert report.well, (report.findings, report.found.breaches[:3], report.marks)
+    assert report.well, (report.findings, report.found.breaches[:3], report.marks, report.delays)
     assert report.found.figures["answered"] == report.found.figures["requests"] > MIN_REQUESTS
 
 
--- a/tests/programs/test_admin.py
+++ b/tests/programs/test_admin.py
@@ -58,7 +58,7 @@
     ("kind", "names"),
     [
         (Gateway, b"/healthz, /readyz, /metrics or /v1/status\n"),
-        (PlannerProgram, b"/healthz or /v1/status\n"),
+        (PlannerProgram, b"/healthz, /metrics or /v1/status\n"),
     ],
 )
 def test_unknown_path_gets_404_with_the_list_of_pages(kind, names):
@@ -66,11 +66,15 @@
     assert ask(admin_handler(kind), b"/healthz/")[0] == 404
 
 
-def test_readiness_and_metrics_pages_of_the_gateway():
+def test_readiness_and_metrics_pages():
     assert ask(admin_handler(Gateway), b"/readyz") == (200, {b"content-type": admin.TEXT}, b"ready\n")
     assert ask(admin_handler(Gateway, reasons=("a", "b")), b"/readyz")[::2] == (503, b"a; b\n")
     assert ask(admin_handler(Gateway), b"/metrics") == (200, {b"content-type": admin.METRICS}, b"metrics")
-    assert ask(admin_handler(PlannerProgram), b"/metrics")[0] == 404
+    assert ask(admin_handler(PlannerProgram), b"/readyz")[0] == 404
+    code, headers, body = ask(admin_handler(PlannerProgram), b"/metrics")
+    assert (code, headers) == (200, {b"content-type": admin.METRICS})
+    assert b"cressrock_event_loop_slow_turns_total 0.0\n" in body
+    assert b'cressrock_state_file_writes_total{result="written"} 0.0\n' in body
 
 
 @pytest.mark.parametrize("kind", [Gateway, PlannerProgram])
