--- a/cressrock/lab/processes.py
+++ b/cressrock/lab/processes.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 import threading
+import time
 from collections import Counter, deque
 from collections.abc import Callable, Iterable
 from contextlib import suppress
@@ -41,8 +42,8 @@
     number: int
     log: Path
     process: subprocess.Popen[bytes]
-    clock: Callable[[], float]
     began_ms: float
+    began_s: float = field(default_factory=time.monotonic)  # the same, on a clock that every thread can read
     ready_ms: float = float("inf")
     ended_ms: float = float("inf")  # as the drill saw it
     lines: deque[dict[str, Any]] = field(default_factory=lambda: deque(maxlen=MOST_LINES))
@@ -90,7 +91,8 @@
                     self.last[event] = (sum(self.counts.values()), value)
                     self.counts[event] += 1
                     if event in DELAY_EVENTS:
-                        self.delays.append(f"{self.clock():.0f} ms, {self.name}: {json.dumps(value)}")
+                        at_ms = self.began_ms + (time.monotonic() - self.began_s) * 1000
+                        self.delays.append(f"{at_ms:.0f} ms, {self.name}: {json.dumps(value)}")
                 else:
                     text = line.decode("utf-8", "replace").rstrip("\n")
                     self.traces += text.startswith("Traceback")
@@ -158,7 +160,7 @@
             start_new_session=True,
         )
         log = self.folder / f"{name}.{number}.log"
-        life = Life(name, number, log, process, self.clock, self.clock())
+        life = Life(name, number, log, process, self.clock())
         lives.append(life)
         life.reader = threading.Thread(target=life._read, name=f"log of {name}", daemon=True)
         life.reader.start()
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -365,6 +365,22 @@
     run(program)
 
 
+def test_slow_turns_that_a_process_logs_are_reported_with_their_time(tmp_path):
+    """Regression: they were stamped with the event loop's clock in a thread, which ended at the first one."""
+    code = READY + "say('event_loop.slow_turn')\nsay('state_file.slow_write')\nsay('up')"
+
+    async def program():
+        with Processes(str(tmp_path), lambda: anyio.current_time() * 1000) as processes:
+            life = await processes.start("a", [*PYTHON, code], "up")
+            slow_turn, slow_write = processes.delays()
+            assert life.counts["up"] == 1
+            assert slow_turn.endswith('ms, a: {"event": "event_loop.slow_turn"}')
+            assert slow_write.endswith('ms, a: {"event": "state_file.slow_write"}')
+            assert float(slow_turn.partition(" ms")[0]) >= round(life.began_ms)
+
+    run(program)
+
+
 def test_a_full_disk_is_told_to_one_process_alone_and_has_room_again(tmp_path):
     code = READY + (
         "say('up')\nwhile True:\n"
