--- a/cressrock/lab/node.py
+++ b/cressrock/lab/node.py
@@ -217,7 +217,7 @@
             spool = Spool(self.store, int(length) if length else None)
             try:
                 while data := await exchange.read():
-                    spool.append(data)
+                    await spool.append(data)
             except BaseException:
                 spool.close()
                 raise
--- a/cressrock/programs/composition.py
+++ b/cressrock/programs/composition.py
@@ -19,6 +19,7 @@
 from cressrock.dispatch.node_client import Connect, NodeClient
 from cressrock.dispatch.node_list import NodeListState
 from cressrock.dispatch.node_list_poller import NodeListPoller, NodeListSource
+from cressrock.dispatch.spill_file import BlockingCalls, InlineCalls
 from cressrock.dispatch.task_driver import TaskDriver
 from cressrock.edge.decisions import EdgeDecisions
 from cressrock.interface import NodeList
@@ -56,6 +57,7 @@
     sockets: Sockets = field(default_factory=SystemSockets)
     allow_threads: bool = True  # blocking calls may run in worker threads; False in simulated time
     state_files: StateFiles = field(default_factory=StateFiles)
+    blocking_calls: BlockingCalls = field(default_factory=InlineCalls)  # to files of payloads
     turns: TurnCounts = field(default_factory=TurnCounts)  # of the event loop, in a process of its own
 
 
--- a/cressrock/programs/gateway.py
+++ b/cressrock/programs/gateway.py
@@ -90,6 +90,7 @@
             memory_bytes=settings.payloads.memory_bytes,
             spill_bytes=settings.payloads.spill_bytes,
             directory=settings.payloads.directory,
+            blocking_calls=environment.blocking_calls,
         )
         self.admin = admin.AdminServer(
             {
--- a/cressrock/programs/process.py
+++ b/cressrock/programs/process.py
@@ -10,6 +10,7 @@
 from anyio.abc import TaskGroup
 
 from cressrock import net
+from cressrock.dispatch.spill_file import ThreadCalls
 from cressrock.http.server import Server
 from cressrock.observe import logs
 from cressrock.observe.admin import AdminServer
@@ -81,7 +82,12 @@
     # be unique across processes.
     seed = settings.seed or secrets.randbits(SEED_BITS)
     return Environment(
-        net.connect, net.wall_ms, seed, log, state_files=StateFiles(in_background=True, log=log)
+        net.connect,
+        net.wall_ms,
+        seed,
+        log,
+        state_files=StateFiles(in_background=True, log=log),
+        blocking_calls=ThreadCalls(),
     )
 
 
--- a/cressrock/webdav/front.py
+++ b/cressrock/webdav/front.py
@@ -241,34 +241,47 @@
         spool = Spool(self.store, request.length)
         spools.append(spool)
         request.body = spool
-        gather_limit_bytes = self.settings.front.gather_bytes
-        if request.length is None or request.length <= gather_limit_bytes:
-            while spool.size <= gather_limit_bytes:
-                data = await exchange.read()
-                if not data:
-                    spool.finish()
-                    break
-                spool.append(data)
+        unstored = await self._gather(exchange, request, spool)
         if spool.is_complete:
             return await self._answer(
                 exchange, await self._compose(request, request_number, label, spools), label
             )
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._receive, exchange, spool)
+            tasks.start_soon(self._receive, exchange, spool, unstored)
             answer = await self._compose(request, request_number, label, spools)
             tasks.cancel_scope.cancel()
         # After an answer before the end of the payload, unread data makes the connection unusable.
         exchange.close_after = exchange.close_after or not exchange.read_all
         return await self._answer(exchange, answer, label)
 
-    async def _receive(self, exchange: Exchange, spool: Spool) -> None:
-        """Read a payload into the spool; if it breaks off or is too large, mark the spool as failed."""
+    async def _gather(self, exchange: Exchange, request: Request, spool: Spool) -> bytes:
+        """Read a payload of up to `gather_bytes`, as far as it fits in memory.
+
+        Returns what was read and did not fit.  It is stored while the request is served, so that a request
+        that waits for a disk is answered by its deadline.
+        """
+        limit_bytes = self.settings.front.gather_bytes
+        if request.length is not None and request.length > limit_bytes:
+            return b""
+        while spool.size <= limit_bytes:
+            data = await exchange.read()
+            if not data:
+                spool.finish()
+                return b""
+            if not spool.fits_in_memory(len(data)):
+                return data
+            spool.append_in_memory(data)
+        return b""
+
+    async def _receive(self, exchange: Exchange, spool: Spool, data: bytes) -> None:
+        """Store `data` and the rest of a payload; the spool fails if it ends early or is too large."""
         try:
-            while data := await exchange.read():
+            while data := data or await exchange.read():
                 if spool.size + len(data) > self.settings.front.max_put_bytes:
                     spool.fail()
                     return
-                spool.append(data)
+                await spool.append(data)
+                data = b""
             spool.finish()
         except (ConnectionLostError, h11.RemoteProtocolError, OSError):
             spool.fail()
@@ -352,7 +365,7 @@
             )
         result = await self.driver.perform(request_number, index, op, deadline_ms, label, start_ms)
         if isinstance(result, Reply) and call.collect and result.stream is not None:
-            return await self._collect(result, result.stream, spools)
+            return await self._collect(result, result.stream, spools, deadline_ms)
         return result
 
     async def _perform_replicated(
@@ -402,7 +415,7 @@
                 operation = replace(operation, idempotency_key=_hash_key(f"{op.idempotency_key}#{shard}"))
             result = await self.driver.perform(request_number, number, operation, deadline, label, start_ms)
             if isinstance(result, Reply) and replica_call.collect and result.stream is not None:
-                return await self._collect(result, result.stream, spools)
+                return await self._collect(result, result.stream, spools, deadline)
             return result
 
         content_type = next((v for k, v in call.headers if k == b"content-type"), b"")
@@ -435,15 +448,18 @@
             stream=call.collect,
         )
 
-    async def _collect(self, reply: Reply, stream: IncomingPayload, spools: list[Spool]) -> Result:
-        """Read a reply's payload into a spool, to be written to another shard."""
+    async def _collect(
+        self, reply: Reply, stream: IncomingPayload, spools: list[Spool], deadline_ms: float
+    ) -> Result:
+        """Read a reply's payload into a spool by the deadline, to be written to another shard."""
         length = header(reply.headers, b"content-length")
         spool = Spool(self.store, int(length) if length is not None else None)
         spools.append(spool)
         try:
-            while data := await stream.read_chunk():
-                spool.append(bytes(data))
-        except (PayloadTruncatedError, OSError):
+            with anyio.fail_after(max(0.0, deadline_ms - self.clock()) / 1000):
+                while data := await stream.read_chunk():
+                    await spool.append(bytes(data))
+        except (PayloadTruncatedError, OSError):  # a TimeoutError is an OSError
             return Denial(Verdict.FAILED, Reason.ATTEMPTS)
         finally:
             stream.abandon()
--- a/tests/test_state_file.py
+++ b/tests/test_state_file.py
@@ -278,10 +278,18 @@
     "state_file.py": "in a thread; `write_atomically` alone blocks",
     "planner/epochs.py": "as a process starts, ahead of the first decision of its epoch",
     "consensus/store_file.py": "by ConsensusReplica, in a thread",
-    "dispatch/spool.py": "payloads above the bound on memory; not flushed",
+    "dispatch/spill_file.py": "by Spool, in threads; payloads above the bound on memory",
     "cli/main.py": "ahead of the event loop, or as a command",
 }
-WRITING_CALLS = {"fsync", "fdatasync", "write_text", "write_bytes", "write_atomically"}
+WRITING_CALLS = {
+    "fsync",
+    "fdatasync",
+    "pwrite",
+    "pwritev",
+    "write_text",
+    "write_bytes",
+    "write_atomically",
+}
 WRITING_CALLS_OF_MODULES = {
     "os.replace",
     "os.rename",
