--- a/cressrock/dispatch/node_list.py
+++ b/cressrock/dispatch/node_list.py
@@ -12,9 +12,12 @@
 
 import msgspec
 
+from cressrock.config import describe_value
 from cressrock.interface import ListKind, Node, NodeList, NodeState
+from cressrock.json_fields import MAX_PORT, MAX_SHARD, FieldError, epoch_ms, whole_number
 
 TYPE_URL = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
+MAX_VERSION_DIGITS = 4000  # int() reads up to 4,300
 JsonObject = dict[str, Any]  # decoded, not yet validated
 _StartTimes = dict[tuple[str, float], float]  # monotonic milliseconds, by node name and `up_since`
 _STATE_BY_HEALTH_STATUS = {
@@ -79,6 +82,8 @@
             value = msgspec.json.decode(body)
         except msgspec.DecodeError as error:
             raise NodeListError(f"discovery response is not JSON: {error}") from None
+        except RecursionError:
+            raise NodeListError("discovery response is not JSON: nested too deeply") from None
         if not isinstance(value, dict) or not isinstance(value.get("version_info"), str):
             raise NodeListError("discovery response is not an object with a version_info string")
         version: str = value["version_info"]
@@ -141,32 +146,41 @@
 
     def _parse_node(self, endpoint: Any, zone: int, path: str) -> Node:
         address = _get(endpoint, "endpoint", "address", "socket_address", default=None)
-        host, port = _get(address, "address", default=None), _get(address, "port_value", default=None)
-        if not isinstance(host, str) or not isinstance(port, int):
-            raise NodeListError(
-                f"{path}.endpoint.address.socket_address: address or port_value is missing or invalid"
-            )
+        address_path = f"{path}.endpoint.address.socket_address"
+        host, port_value = _get(address, "address", default=None), _get(address, "port_value", default=None)
+        if not isinstance(host, str):
+            raise NodeListError(f"{address_path}: address is missing or not a name")
         metadata = _get(endpoint, "metadata", "filter_metadata", "cressrock", default={})
-        shard = _get(metadata, "shard", default=None)
-        if not isinstance(shard, int) or shard < 0:
-            raise NodeListError(f"{path}.metadata: shard is missing, negative or not an integer")
-        status = endpoint.get("health_status", "HEALTHY")
-        if status not in _STATE_BY_HEALTH_STATUS:
-            raise NodeListError(f"{path}.health_status: unknown value {status!r}")
+        status = _get(endpoint, "health_status", default="HEALTHY")
+        state = _STATE_BY_HEALTH_STATUS.get(status) if isinstance(status, str) else None
+        if state is None:
+            raise NodeListError(f"{path}.health_status: unknown value {describe_value(status)}")
+        try:
+            port = whole_number(port_value, f"{address_path}.port_value", maximum=MAX_PORT)
+            shard = whole_number(
+                _get(metadata, "shard", default=None), f"{path}.metadata.shard", maximum=MAX_SHARD
+            )
+            up_since_ms = epoch_ms(_get(metadata, "up_since", default=0), f"{path}.metadata.up_since")
+        except FieldError as error:
+            raise NodeListError(str(error)) from None
         name = f"{host}:{port}"
-        up_since = _get(metadata, "up_since", default=0)
-        if not isinstance(up_since, (int, float)) or isinstance(up_since, bool):
-            raise NodeListError(f"{path}.metadata: up_since is not a number")
         started_at_ms = 0.0
-        if up_since:
-            age_ms = max(0.0, self.wall_ms - float(up_since))
-            started_at_ms = self.start_times.setdefault((name, float(up_since)), self.now_ms - age_ms)
-        return Node(name, shard, zone, started_at_ms, _STATE_BY_HEALTH_STATUS[status])
+        if up_since_ms:
+            age_ms = max(0.0, self.wall_ms - up_since_ms)
+            started_at_ms = self.start_times.setdefault((name, up_since_ms), self.now_ms - age_ms)
+        return Node(name, shard, zone, started_at_ms, state)
 
 
 def _is_older(version: str, present: str) -> bool:
     """Compare integer versions; versions that are not integers have no order and count as newer."""
-    return version.isdigit() and present.isdigit() and int(version) < int(present)
+    if not (_is_integer(version) and _is_integer(present)):
+        return False
+    return int(version) < int(present)
+
+
+def _is_integer(version: str) -> bool:
+    # isdigit() alone accepts digits that int() rejects, as it does texts that are too long.
+    return version.isascii() and version.isdigit() and len(version) <= MAX_VERSION_DIGITS
 
 
 def _get(value: Any, *path: str, default: Any) -> Any:
--- a/cressrock/dispatch/node_response.py
+++ b/cressrock/dispatch/node_response.py
@@ -47,7 +47,7 @@
         return ReportedLoad()
     try:
         value: Any = msgspec.json.decode(field.removeprefix(b"JSON").strip())
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return ReportedLoad()
     named_metrics = value.get("named_metrics") if isinstance(value, dict) else None
     if not isinstance(named_metrics, dict):
--- a/cressrock/platform/server_list.py
+++ b/cressrock/platform/server_list.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from dataclasses import dataclass, replace
 from typing import Any
 
+from cressrock.config import describe_value
 from cressrock.interface import ListKind, Node, NodeList, NodeState
+from cressrock.json_fields import MAX_SHARD, FieldError, epoch_ms, whole_number
 from cressrock.platform.config import ConfigError, address
 
 STATE_BY_HEALTH = {"active": NodeState.READY, "leaving": NodeState.DRAINING, "left": NodeState.GONE}
 
-
 MOST_TOLD = 16384  # as many as the ledger holds servers: 10,000 at the planned size, and earlier starts
 
 
@@ -18,6 +20,18 @@
     """An answer of discovery that cannot be used; the text names the place in it."""
 
 
+@dataclass(frozen=True, slots=True)
+class ServerEntry:
+    """One server as discovery describes it; `start_ms` is in Unix time, 0 if it is not known."""
+
+    name: str
+    dial_address: tuple[str, int]
+    shard: int
+    site: str
+    state: NodeState
+    start_ms: float
+
+
 class ServerList:
     """The list as last accepted.  `host` identifies a server; `dial` is its address for this dispatcher."""
 
@@ -29,6 +43,7 @@
         self.dial_addresses: dict[str, tuple[str, int]] = {}
         self.replaced: list[str] = []  # hosts that the last answer moved, restarted or removed
         self.rejected_entries: list[str] = []  # why entries of the last answer were ignored
+        self._entries: dict[str, ServerEntry] = {}  # the last usable entry of each listed server
         self._starts: dict[str, tuple[float, float]] = {}  # start in Unix time and on the scheduler's clock
         # The reported state of a server's start, where it is not ready: draining or gone.
         self._not_ready: OrderedDict[tuple[str, float], NodeState] = OrderedDict()
@@ -39,11 +54,12 @@
     def receive(self, value: Any, now_ms: float, wall_ms: float, *, cached: bool = False) -> NodeList:
         """Apply an answer; `now_ms` and `wall_ms` are the scheduler's clock and Unix time at one instant.
 
-        An unusable entry is ignored, so that it does not hide a drain reported beside it.  Raises ListError,
-        and leaves the list unchanged, if no entry is usable or the answer is malformed or older than the
-        list.  After an older answer the whole list is requested and accepted with any version: otherwise a
-        discovery that restarted its version count would be ignored for ever.  Such a list does not revoke a
-        drain: a server that drained or left stays so until it starts again.
+        An unusable entry is ignored, so that it does not hide a drain reported beside it; its server stays as
+        it was, but for a drain that the entry itself reports.  Raises ListError, and leaves the list
+        unchanged, if no entry is usable or the answer is malformed or older than the list.  After an older
+        answer the whole list is requested and accepted with any version: otherwise a discovery that
+        restarted its version count would be ignored for ever.  Such a list does not revoke a drain: a server
+        that drained or left stays so until it starts again.
         """
         if not isinstance(value, dict) or not isinstance(value.get("hosts"), list):
             raise ListError("hosts is missing or not a list")
@@ -54,51 +70,83 @@
         if older and not cached and not (whole and self.after < 0):
             self.after = -1
             raise ListError(f"seq {version} is older than {self.version}; requesting the whole list")
-        entries, self.rejected_entries = [], []
-        for index, entry in enumerate(value["hosts"]):
-            try:
-                entries.append(self._parse_entry(entry, f"hosts[{index}]"))
-            except ListError as exc:
-                self.rejected_entries.append(str(exc))
-        if self.rejected_entries and not entries:
-            raise ListError(f"no entry can be used; the first: {self.rejected_entries[0]}")
+        entries = self._read_entries(value["hosts"])
         if whole or cached:
-            kept = {name for name, *_ in entries}
+            kept = {entry.name for entry in entries}
             self.replaced = [name for name in self.dial_addresses if name not in kept]
             for name in self.replaced:
-                del self.dial_addresses[name]
-                self._starts.pop(name, None)
-                self._zone_keys.pop(name, None)
+                self._forget(name)
         else:
             self.replaced = []
         self.version = self.after = version
         nodes = []
-        for name, dial, shard, site, state, start_ms in entries:
-            state = self._effective_state(name, start_ms, state, older or cached)
-            zone = self._zone_number(name, site)
-            start = self._starts.get(name)
-            is_replaced = start is not None and (
-                start[0] != start_ms or self.dial_addresses.get(name) != dial
-            )
-            if is_replaced or state is NodeState.GONE:
-                self.replaced.append(name)
-            # A start time is converted to the scheduler's clock once, when it is first reported: a step of
-            # the wall clock must not make a cold server count as warm, nor a warm one as cold.
-            if start is None or start[0] != start_ms:
-                start = (start_ms, now_ms - max(0.0, wall_ms - start_ms) if start_ms else 0.0)
-            if state is NodeState.GONE:
-                self._starts.pop(name, None)
-                self.dial_addresses.pop(name, None)
-                self._zone_keys.pop(name, None)
-            else:
-                self._starts[name] = start
-                self.dial_addresses[name] = dial
-            nodes.append(Node(name, shard, zone, start[1], state))
+        for entry in entries:
+            state = self._effective_state(entry.name, entry.start_ms, entry.state, older or cached)
+            nodes.append(self._apply(entry, state, now_ms, wall_ms))
         used_keys = set(self._zone_keys.values())
         self._extra_zones = {key: number for key, number in self._extra_zones.items() if key in used_keys}
         kind = ListKind.CACHED if cached else ListKind.COMPLETE if whole else ListKind.CHANGES
         return NodeList(kind, tuple(nodes))
 
+    def _read_entries(self, values: list[Any]) -> list[ServerEntry]:
+        """Return the usable entries, and the last usable ones of servers whose entry is not.
+
+        Raises ListError if there are entries and none is usable.
+        """
+        entries, kept, self.rejected_entries = [], [], []
+        for index, value in enumerate(values):
+            try:
+                entries.append(self._parse_entry(value, f"hosts[{index}]"))
+            except ListError as exc:
+                self.rejected_entries.append(str(exc))
+                kept.extend(self._last_entry(value))
+        if self.rejected_entries and not entries:
+            raise ListError(f"no entry can be used; the first: {self.rejected_entries[0]}")
+        return entries + kept
+
+    def _last_entry(self, value: Any) -> list[ServerEntry]:
+        """Return the last usable entry of the server that an unusable one names, if there is one.
+
+        If a drain can be read from the unusable one, it counts: nothing new may be sent to that server.
+        """
+        name = value.get("host") if isinstance(value, dict) else None
+        entry = self._entries.get(name) if isinstance(name, str) else None
+        if entry is None:
+            return []
+        state = STATE_BY_HEALTH.get(str(value.get("health")))
+        if state in (NodeState.DRAINING, NodeState.GONE):
+            entry = replace(entry, state=state)
+        return [entry]
+
+    def _apply(self, entry: ServerEntry, state: NodeState, now_ms: float, wall_ms: float) -> Node:
+        """Take an entry over, with the state that is valid, and return its node for the report."""
+        name, start_ms = entry.name, entry.start_ms
+        zone = self._zone_number(name, entry.site)
+        start = self._starts.get(name)
+        is_replaced = start is not None and (
+            start[0] != start_ms or self.dial_addresses.get(name) != entry.dial_address
+        )
+        if is_replaced or state is NodeState.GONE:
+            self.replaced.append(name)
+        # A start time is converted to the scheduler's clock once, when it is first reported: a step of the
+        # wall clock must not make a cold server count as warm, nor a warm one as cold.
+        if start is None or start[0] != start_ms:
+            start = (start_ms, now_ms - max(0.0, wall_ms - start_ms) if start_ms else 0.0)
+        if state is NodeState.GONE:
+            self._forget(name)
+        else:
+            self._entries[name] = replace(entry, state=state)
+            self._starts[name] = start
+            self.dial_addresses[name] = entry.dial_address
+        return Node(name, entry.shard, zone, start[1], state)
+
+    def _forget(self, name: str) -> None:
+        """Forget a server that is not listed any more, but for its drain."""
+        self._entries.pop(name, None)
+        self._starts.pop(name, None)
+        self.dial_addresses.pop(name, None)
+        self._zone_keys.pop(name, None)
+
     def _effective_state(self, name: str, start_ms: float, state: NodeState, may_be_stale: bool) -> NodeState:
         """Record the reported state of a server's start and return the valid one.
 
@@ -116,29 +164,27 @@
                 self._not_ready.popitem(last=False)
         return state
 
-    def _parse_entry(self, entry: Any, place: str) -> tuple[str, tuple[str, int], int, str, NodeState, float]:
-        if not isinstance(entry, dict):
+    def _parse_entry(self, value: Any, place: str) -> ServerEntry:
+        if not isinstance(value, dict):
             raise ListError(f"{place} is not an object")
-        name, dial, shard = entry.get("host"), entry.get("dial"), entry.get("block")
+        name, site = value.get("host"), value.get("site")
         if not isinstance(name, str) or not name:
             raise ListError(f"{place}.host is missing or not a name")
-        if isinstance(shard, bool) or not isinstance(shard, int) or shard < 0:
-            raise ListError(f"{place}.block is missing, negative or not a whole number")
-        state = STATE_BY_HEALTH.get(str(entry.get("health")))
+        state = STATE_BY_HEALTH.get(str(value.get("health")))
         if state is None:
-            raise ListError(f"{place}.health: unknown word {entry.get('health')!r}")
+            raise ListError(f"{place}.health: unknown word {describe_value(value.get('health'))}")
+        try:
+            shard = whole_number(value.get("block"), f"{place}.block", maximum=MAX_SHARD)
+            start_ms = epoch_ms(value.get("born_ms", 0), f"{place}.born_ms")
+        except FieldError as exc:
+            raise ListError(str(exc)) from None
         try:
-            dial_address = address(str(dial), f"{place}.dial")
+            dial_address = address(str(value.get("dial")), f"{place}.dial")
         except ConfigError as exc:
             if state is not NodeState.GONE:
                 raise ListError(str(exc)) from None
             dial_address = ("", 0)
-        born = entry.get("born_ms", 0)
-        # NaN is rejected too: as it differs from itself, its server would count as restarted with every list.
-        if isinstance(born, bool) or not isinstance(born, (int, float)) or not 0 <= born < float("inf"):
-            raise ListError(f"{place}.born_ms is not a Unix time in milliseconds")
-        site = entry.get("site")
-        return name, dial_address, shard, "" if site is None else str(site), state, float(born)
+        return ServerEntry(name, dial_address, shard, "" if site is None else str(site), state, start_ms)
 
     def _zone_number(self, name: str, site: str) -> int:
         """Return the number of a server's zone.
--- a/cressrock/platform/watch.py
+++ b/cressrock/platform/watch.py
@@ -55,6 +55,7 @@
         self._subscribed = anyio.Event()
         self._rescheduled = anyio.Event()  # the time of the next call may have changed
         self._scopes: dict[int, anyio.CancelScope] = {}
+        self._logged_entries: list[str] = []
         self._channel: Channel | None = None  # of the last answer, for the call that continues the watch
         if subscribed:
             self._subscribed.set()
@@ -121,11 +122,7 @@
             return  # applied after another call's answer or after an address change, it would undo changes
         # An answer that arrives while the address changes is still applied: its changes are not sent again.
         report = self.servers.receive(value, self.clock(), self.wall_ms())
-        if self.servers.rejected_entries:
-            self.log(
-                f"discovery: {len(self.servers.rejected_entries)} entries of the server list ignored; "
-                f"the first: {self.servers.rejected_entries[0]}"
-            )
+        self._log_rejected_entries(self.servers.rejected_entries)
         others = self.schedule.record_answer(call.number, self.clock())
         if others is not None and channel.reusable():
             self._channel = channel
@@ -136,6 +133,13 @@
         if not call.wait_ms or report.nodes or report.kind is not ListKind.CHANGES:
             self.on_report(report)
 
+    def _log_rejected_entries(self, rejected: list[str]) -> None:
+        """Log entries that were ignored, if they are not those that were logged last."""
+        if not rejected or rejected == self._logged_entries:
+            return
+        self._logged_entries = rejected
+        self.log(f"discovery: {len(rejected)} entries of the server list ignored; the first: {rejected[0]}")
+
     def _record_failure(self, call: Call, address: tuple[str, int], problem: str) -> None:
         if call.number in self.schedule.outstanding:
             self.log(f"call to discovery at {address[0]}:{address[1]} failed: {problem}")
--- a/tests/test_platform_watch.py
+++ b/tests/test_platform_watch.py
@@ -9,7 +9,7 @@
 import pytest
 
 from cressrock.interface import ListKind, NodeState
-from cressrock.lab.platform import Discovery, config
+from cressrock.lab.platform import Discovery, config, echo
 from cressrock.platform import watch_schedule
 from cressrock.platform.config import parse
 from cressrock.platform.program import Program
@@ -406,3 +406,22 @@
             await process.wait()
 
     test()
+
+
+@async_test
+async def test_a_number_of_401_digits_is_logged_once_and_ends_nothing():
+    """Regression: a start time of 401 digits ended the process with OverflowError."""
+    async with running_program(echo, echo) as s:
+        watch, lines = s.program.watch, []
+        watch.log = lines.append
+        for _ in range(3):
+            version = s.discovery.version + 1
+            s.discovery.put("s1", s.servers[1].address, 1, born_ms=10**400)
+            s.discovery.put("s0", s.servers[0].address, 0)
+            await s.until(lambda version=version: s.program.servers.version > version)
+        ignored = [line for line in lines if "ignored" in line]
+        assert len(ignored) == 1
+        assert "born_ms is not a Unix time" in ignored[0]
+        client = await s.client()
+        assert await client.ask(read(1, shard=1)) == b"value of " + request_id(1)
+        assert not s.task.done()
