--- a/cressrock/resp/connection_pool.py
+++ b/cressrock/resp/connection_pool.py
@@ -188,6 +188,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.is_lost = True
+        self.pool._closing.discard(self)
         self.update_held()
         attempt = self.attempt
         self.pool._remove(self)
@@ -334,6 +335,7 @@
         self.unrequested_input_count = 0  # connections closed because of unrequested bytes
         self.invalid_answer_count = 0  # connections closed because of an invalid or incomplete answer
         self.active_count = 0  # attempts without an outcome
+        self._closing: set[_Connection] = set()  # reset, and closed later in the event loop's iteration
         self._checks: list[tuple[float, int, _InFlightAttempt]] = []
         self._check_sequence = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -342,10 +344,17 @@
     # --- called by the driver
 
     def start(self, call: Call) -> _InFlightAttempt:
-        """Start an attempt on an idle connection that may be reused, else on a new one."""
+        """Start an attempt on an idle connection that may be reused, else on a new one.
+
+        It waits for the next iteration of the event loop if connections are still to be closed: it may repeat
+        an attempt that was given up, and only one of them may be open at a server.
+        """
         attempt = _InFlightAttempt(self, call)
         self._schedule_check(attempt)
-        self._assign_connection(attempt)
+        if self._closing:
+            asyncio.get_running_loop().call_soon(self._reassign_connection, attempt)
+        else:
+            self._assign_connection(attempt)
         return attempt
 
     def _assign_connection(self, attempt: _InFlightAttempt) -> None:
@@ -586,6 +595,8 @@
         """Reset a connection, discarding unsent and unread bytes."""
         connection.attempt = None
         self._remove(connection)
+        if not connection.is_lost:
+            self._closing.add(connection)
         connection.transport.abort()
 
     def _remove(self, connection: _Connection) -> None:
--- a/tests/test_platform_pool.py
+++ b/tests/test_platform_pool.py
@@ -778,3 +778,69 @@
         assert not harness.pool.open_connections and not harness.pool.idle_connections.get("s0")
 
     test()
+
+
+def is_open(end):
+    """Return whether the peer of a server's end has neither closed nor reset the connection."""
+    if not select.select([end], [], [], 0)[0]:
+        return True
+    try:
+        return end.recv(1, socket.MSG_PEEK) != b""
+    except ConnectionError:
+        return False
+
+
+class Repeats:
+    """Starts a repeat at server s1 for each attempt that ends, in one batch, as the driver does."""
+
+    def __init__(self, harness):
+        self.harness = harness
+        self.count = 0  # ended, and not repeated yet
+        self.calls = []
+
+    def record_end(self, _result):
+        if not self.count:
+            asyncio.get_running_loop().call_soon(self.process_batch)
+        self.count += 1
+
+    def process_batch(self):
+        for _ in range(self.count):
+            self.calls.append(self.harness.start(server="s1")[0])
+        self.count = 0
+
+
+@with_pool(max_connections=100)
+async def test_no_repeat_is_written_before_the_connections_of_ended_attempts_are_closed(harness):
+    """Regression: a batch wrote its repeats before the event loop had closed all connections given up."""
+    other, pool = ManualServer(), harness.pool
+    harness.addresses["s1"] = other.address
+    pool.reuse_delay.ready_at = lambda since: since
+    warming = [harness.start(server="s1")[0] for _ in range(20)]
+    other_ends = [await other.accepted() for _ in warming]
+    repeats, still_open, write = Repeats(harness), [], pool._write
+
+    def look_then_write(connection, attempt):
+        if connection.node == "s1":
+            still_open.extend(end for end in harness.peer.ends if is_open(end))
+        write(connection, attempt)
+
+    for _ in range(50):  # times 20 repeats
+        for end in other_ends:
+            await read(end, len(b"request"))
+            end.sendall(answer(b"one"))
+        for call in [*warming, *repeats.calls]:
+            await harness.ended(call)
+        repeats.calls.clear()
+        pool._write = write
+        for _ in other_ends:
+            call, _ = harness.start(deadline=harness.now[0] + 100)
+            call.end = repeats.record_end
+            await read(await harness.peer.accepted(), len(b"request"))
+        pool._write = look_then_write
+        harness.advance(100)
+        while len(repeats.calls) < len(other_ends):
+            await asyncio.sleep(0)
+        assert not still_open
+        while harness.peer.ends:
+            harness.peer.ends.pop().close()
+    other.close()
