Tests: what two memory tests and three of stopping shared stands once

Found by a search for repeated lines over the change: two tests sent writes on several connections and read all answers, and three set the same times of a process's end.

--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -355,6 +355,16 @@
     assert not connect().transport.closed and first.transport.closed and not third.transport.closed
 
 
+# The process answers everything shortly after SIGTERM, and then has 20 s until it is killed.
+LONG_EXIT = {
+    "ACCEPT_AFTER_SIGTERM_MS": 0.0,
+    "MAX_DEADLINE_WAIT_MS": 100.0,
+    "KILL_ALLOWANCE_MS": 20_000.0,
+    "ANSWER_LEAD_MS": 19_900.0,
+    "EXIT_LEAD_MS": 0.0,
+}
+
+
 def set_stopping_times(monkeypatch, **times):
     for name, value in times.items():
         monkeypatch.setattr(stopping, name, value)
@@ -375,14 +385,7 @@
 @async_test
 async def test_the_process_waits_for_unsent_answers_before_it_exits(monkeypatch):
     """Output buffered in the process or the kernel could be lost when the process exits."""
-    set_stopping_times(
-        monkeypatch,
-        ACCEPT_AFTER_SIGTERM_MS=0.0,
-        MAX_DEADLINE_WAIT_MS=100.0,
-        KILL_ALLOWANCE_MS=20_000.0,
-        ANSWER_LEAD_MS=19_900.0,
-        EXIT_LEAD_MS=0.0,
-    )
+    set_stopping_times(monkeypatch, **LONG_EXIT)
     large = b"y" * 1_500_000
     async with running_program(lambda words: answer(large)) as s:
         sock = await connect_with_small_buffers(s)
@@ -403,14 +406,7 @@
 @async_test
 async def test_all_answers_to_a_slow_reader_are_sent_before_the_process_exits(monkeypatch):
     """Regression: answers that waited in the queue behind an unread one were lost as the process ended."""
-    set_stopping_times(
-        monkeypatch,
-        ACCEPT_AFTER_SIGTERM_MS=0.0,
-        MAX_DEADLINE_WAIT_MS=100.0,
-        KILL_ALLOWANCE_MS=20_000.0,
-        ANSWER_LEAD_MS=19_900.0,
-        EXIT_LEAD_MS=0.0,
-    )
+    set_stopping_times(monkeypatch, **LONG_EXIT)
     large = b"y" * 1_500_000
     async with running_program(lambda words: answer(large), lambda words: answer(large)) as s:
         sock = await connect_with_small_buffers(s)
@@ -429,14 +425,7 @@
 @async_test
 async def test_commands_that_were_read_are_answered_as_the_process_ends(monkeypatch):
     """Regression: commands that stayed in the parser behind many answers were lost."""
-    set_stopping_times(
-        monkeypatch,
-        ACCEPT_AFTER_SIGTERM_MS=0.0,
-        MAX_DEADLINE_WAIT_MS=100.0,
-        KILL_ALLOWANCE_MS=20_000.0,
-        ANSWER_LEAD_MS=19_900.0,
-        EXIT_LEAD_MS=0.0,
-    )
+    set_stopping_times(monkeypatch, **LONG_EXIT)
     async with running_program(lambda words: None) as s:
         sock = connect_raw(s)
         pings = codec.command(b"PING") * 400
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -40,6 +40,17 @@
                 writer.write(answer(self.withheld.pop(0) + VALUE))
 
 
+async def write_at_once(s, *, clients, writes, value):
+    """Send writes to the quick server on several connections at once; fails unless all are served."""
+    connected = [await s.client() for _ in range(clients)]
+    for index, client in enumerate(connected):
+        client.parser = codec.ReplyParser(1 << 20)
+        client.send(*(write(100 * index + n, value, shard=1) for n in range(writes)))
+    for index, client in enumerate(connected):
+        for n in range(writes):
+            assert await client.reply() == request_id(100 * index + n) + VALUE
+
+
 def bound_memory(s, total_bytes):
     account = s.program.front.admission.account
     account.bounds = MemoryBounds.of_total(total_bytes)
@@ -112,14 +123,8 @@
     servers = Servers()
     async with running_program(servers.slow, servers.quick) as s:
         account = bound_memory(s, 2 * MIB)
-        clients = [await s.client() for _ in range(16)]
-        for index, client in enumerate(clients):
-            client.parser = codec.ReplyParser(1 << 20)
-            client.send(*(write(100 * index + n, VALUE[:8192], shard=1) for n in range(40)))
-        for index, client in enumerate(clients):
-            for n in range(40):
-                assert await client.reply() == request_id(100 * index + n) + VALUE
-        assert account.highest_bytes <= account.bounds.total_bytes + len(clients) * SMALL_INPUT_BYTES
+        await write_at_once(s, clients=16, writes=40, value=VALUE[:8192])
+        assert account.highest_bytes <= account.bounds.total_bytes + 16 * SMALL_INPUT_BYTES
 
 
 @async_test
@@ -128,16 +133,10 @@
     servers = Servers()
     async with running_program(servers.slow, servers.quick) as s:
         account = bound_memory(s, 2 * MIB)
-        clients = [await s.client() for _ in range(8)]
-        for index, client in enumerate(clients):
-            client.send(*(write(100 * index + n, VALUE, shard=1) for n in range(20)))
-        for index, client in enumerate(clients):
-            client.parser = codec.ReplyParser(1 << 20)
-            for n in range(20):
-                assert await client.reply() == request_id(100 * index + n) + VALUE
+        await write_at_once(s, clients=8, writes=20, value=VALUE)
         assert s.program.front.admission.counts.paused
         # Beside the bound, each connection may have a small part of its next command in the parser.
-        assert account.highest_bytes <= account.bounds.total_bytes + len(clients) * SMALL_INPUT_BYTES
+        assert account.highest_bytes <= account.bounds.total_bytes + 8 * SMALL_INPUT_BYTES
 
 
 @async_test
