--- a/cressrock/observe/event_loop.py
+++ b/cressrock/observe/event_loop.py
@@ -80,28 +80,38 @@
         """`thread_id` is the one of the thread to look at."""
         self.thread_id = thread_id
         self.stack = ""  # as read last, since the last beat
-        self.longest_pause_ms = 0.0  # of this thread, since the last beat
-        self._beat_s = time.monotonic()
+        self._longest_pause_ms = 0.0  # of this thread, since the last beat
+        self._beat_s = self._looked_s = time.monotonic()
         self._ended = threading.Event()
         # A daemon: it must not keep the process from ending.
-        threading.Thread(target=self._run, name="event loop stack sampler", daemon=True).start()
+        self._thread = threading.Thread(target=self._run, name="event loop stack sampler", daemon=True)
+        self._thread.start()
 
     def beat(self) -> None:
         """Begin a new turn."""
-        self.stack, self.longest_pause_ms = "", 0.0
+        self.stack, self._longest_pause_ms = "", 0.0
         self._beat_s = time.monotonic()
 
+    def longest_pause_ms(self) -> float:
+        """Return for how long this thread did not run either, since the last beat.
+
+        After a pause of the whole process, the loop may run before this thread has.
+        """
+        return max(self._longest_pause_ms, self._pause_ms(time.monotonic()))
+
     def close(self) -> None:
-        """End the thread."""
+        """End the thread, and wait for its end."""
         self._ended.set()
+        self._thread.join()
+
+    def _pause_ms(self, now_s: float) -> float:
+        return max(0.0, (now_s - self._looked_s) * 1000 - HEARTBEAT_MS)
 
     def _run(self) -> None:
-        looked_s = time.monotonic()
         while not self._ended.wait(HEARTBEAT_MS / 1000):
             now_s = time.monotonic()
-            pause_ms = (now_s - looked_s) * 1000 - HEARTBEAT_MS
-            self.longest_pause_ms = max(self.longest_pause_ms, pause_ms)
-            looked_s = now_s
+            self._longest_pause_ms = max(self._longest_pause_ms, self._pause_ms(now_s))
+            self._looked_s = now_s
             if not self.stack and (now_s - self._beat_s) * 1000 > HEARTBEAT_MS + SLOW_TURN_MS:
                 self.stack = describe_stack(sys._current_frames().get(self.thread_id))
 
@@ -190,6 +200,6 @@
             running_ms=round(turn.running_ms, 1),
             waiting_ms=round(turn.waiting_ms, 1),
             blocked_ms=round(turn.blocked_ms, 1),
-            process_paused_ms=round(sampler.longest_pause_ms, 1),
+            process_paused_ms=round(sampler.longest_pause_ms(), 1),
             stack=sampler.stack,
         )
--- a/tests/test_event_loop.py
+++ b/tests/test_event_loop.py
@@ -1,12 +1,21 @@
 """The monitor of the event loop: what a slow turn was spent with, and its log line."""
 
 import asyncio
+import threading
 import time
 
 import pytest
 import uvloop
 
-from cressrock.observe.event_loop import SLOW_TURN_MS, EventLoopMonitor, SlowTurn, ThreadTimes, TurnCounts
+from cressrock.observe.event_loop import (
+    HEARTBEAT_MS,
+    SLOW_TURN_MS,
+    EventLoopMonitor,
+    SlowTurn,
+    StackSampler,
+    ThreadTimes,
+    TurnCounts,
+)
 from cressrock.observe.event_loop_metrics import EventLoopCollector
 from cressrock.state_file import write_atomically
 
@@ -50,6 +59,14 @@
     assert counts.longest_ms == pytest.approx(fields["ms"], abs=0.1)
 
 
+def test_a_pause_of_the_process_is_known_before_the_sampling_thread_has_run_again():
+    """Regression: a process that SIGSTOP had held logged a pause of 0.1 ms where its loop ran first."""
+    sampler = StackSampler(threading.get_ident())
+    sampler.close()  # as if it had not run since
+    sampler._looked_s -= 5
+    assert sampler.longest_pause_ms() >= 5000 - HEARTBEAT_MS
+
+
 @pytest.mark.parametrize(
     ("running_ms", "waiting_ms", "spent"),
     [
