--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -22,6 +22,7 @@
 NAME = "KNOWN-RED.txt"
 MOST = 3
 SOMETIMES = ", sometimes"
+MAX_FAILURE_LINES = 60  # of a failure that is passed over, printed at the end of the run
 
 
 class Entry(NamedTuple):
@@ -162,8 +163,8 @@
     if not entries:
         return
     stats = terminalreporter.stats
-    passed_over = {report.nodeid for report in stats.get("xfailed", [])}
-    passed_over -= {report.nodeid for report in stats.get("error", [])}
+    failures = {report.nodeid: report for report in stats.get("xfailed", [])}
+    passed_over = failures.keys() - {report.nodeid for report in stats.get("error", [])}
     passed = {report.nodeid for report in stats.get("passed", [])} - passed_over
     terminalreporter.section(f"known red: {len(entries)} of {MOST} lines in {NAME}")
     for entry in entries.values():
@@ -174,6 +175,15 @@
         else:
             state = "not passed over in this run"
         terminalreporter.line(f"{state}: {entry.line()}")
+        if entry.test in passed_over:
+            for line in failure_lines(failures[entry.test]):
+                terminalreporter.line(f"    {line}")
+
+
+def failure_lines(report):
+    """Return the end of what a failure that is passed over said, so that its cause can be looked for."""
+    text = f"{report.longreprtext}\n{report.capstdout}"
+    return text.splitlines()[-MAX_FAILURE_LINES:]
 
 
 if __name__ == "__main__":
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -117,6 +117,8 @@
     assert result.ret == pytest.ExitCode.OK
     result.assert_outcomes(passed=2, xfailed=1)
     assert says(result, f"\npassed over: {line('test_red', issue='issue 32, sometimes')}\n")
+    # Its text is printed, too, so that a trace of a rare failure is not lost.
+    assert says(result, "    E   assert 1 == 2\n")
     assert says(result, f"\npassed in this run: {line('test_green', issue='issue 32, sometimes')}\n")
 
 
