--- a/cressrock/lab/drill.py
+++ b/cressrock/lab/drill.py
@@ -92,6 +92,12 @@
         """Whether no rule was broken and nothing was found."""
         return not self.found.breaches and not self.findings
 
+    def evidence(self) -> str:
+        """Return what tells why a rule was broken: the rows of the requests, and what was delayed."""
+        requests = {breach.request for breach in self.found.breaches}
+        rows = [str(row) for row in self.result.trace if row.request in requests]
+        return "\n".join([*rows, *self.delays])
+
 
 class Gauge:
     """Delays as they were measured: [from, to, delay] of each, for `judge.Measured`.  Pure."""
--- a/tests/failover/drill_support.py
+++ b/tests/failover/drill_support.py
@@ -50,7 +50,7 @@
     drill = Told(script, (), story=story, extend=common.extend, programs=programs or {})
     drill.node_zones = {shard: ZONES[shard % 3] for shard in range(6)}
     report = rehearse(drill)
-    print(*report.delays, sep="\n")  # pytest shows this where a test fails, and shortens a long assertion
+    print(report.evidence())  # pytest shows this where a test fails, and shortens a long assertion
     assert report.well, (report.findings, report.found.breaches[:3], report.marks)
     assert report.found.figures["answered"] == report.found.figures["requests"] > MIN_REQUESTS
 
--- a/tests/presence/test_drill.py
+++ b/tests/presence/test_drill.py
@@ -157,7 +157,7 @@
     crowd = scenario.crowd
     print(report.marks[-1], crowd.counts, len(crowd.acts), len(crowd.claims))
     assert not scenario.findings, (scenario.findings[:6], crowd.counts)
-    print(*report.delays, sep="\n")  # pytest shows this where a test fails, and shortens a long assertion
+    print(report.evidence())  # pytest shows this where a test fails, and shortens a long assertion
     assert report.well, (report.findings, report.found.breaches[:3], report.marks)
     for act in ("joined near", "resumed", "claimed", "event unsure", "event leave", "event moved"):
         assert crowd.counts.get(act), (act, crowd.counts)
@@ -251,7 +251,7 @@
 def test_a_session_survives_its_gateway_and_the_examples_run():
     scenario = SessionScenario()
     report = run_drill(scenario)
-    print(*report.delays, sep="\n")  # pytest shows this where a test fails, and shortens a long assertion
+    print(report.evidence())  # pytest shows this where a test fails, and shortens a long assertion
     assert report.well, (report.findings, report.found.breaches[:3], report.marks)
     examples = scenario.examples
     for script in ("join.py", "resume.py", "agreed.py", "watch.py"):
--- a/tests/rollout/test_drill.py
+++ b/tests/rollout/test_drill.py
@@ -58,7 +58,7 @@
     )
     report = rehearse(Told(script, (), story=story, extend=common.extend, programs=programs or {}))
     print("seed", seed, [(round(at), what) for at, what in report.marks])
-    print(*report.delays, sep="\n")  # pytest shows this where a test fails, and shortens a long assertion
+    print(report.evidence())  # pytest shows this where a test fails, and shortens a long assertion
     assert report.well, (report.findings, report.found.breaches[:3], report.marks)
     # Only clients of a killed edge may get no answer.
     assert edges_die or report.found.figures["answered"] == report.found.figures["requests"] > 50
--- a/tests/runtime/test_cluster.py
+++ b/tests/runtime/test_cluster.py
@@ -62,7 +62,7 @@
         return leader and leader != first
 
     report = play(story)
-    print(*report.delays, sep="\n")  # pytest shows this where a test fails, and shortens a long assertion
+    print(report.evidence())  # pytest shows this where a test fails, and shortens a long assertion
     assert report.well, (report.findings, report.found.breaches[:3], report.marks)
     assert report.found.figures["requests"] > 20
     assert report.found.figures["answered"] == report.found.figures["requests"]
@@ -80,7 +80,7 @@
             await drill.answered(10)
 
     report = play(story, rate=30.0)
-    print(*report.delays, sep="\n")  # pytest shows this where a test fails, and shortens a long assertion
+    print(report.evidence())  # pytest shows this where a test fails, and shortens a long assertion
     assert report.well, (report.findings, report.found.breaches[:3], report.marks)
     assert report.found.figures["answered"] == report.found.figures["requests"] > 100
     assert report.found.figures["served"] > 0.5 * report.found.figures["requests"]
