--- a/tests/test_platform_disconnects.py
+++ b/tests/test_platform_disconnects.py
@@ -228,6 +228,7 @@
 async def test_buffered_requests_are_not_sent_after_a_disconnect():
     """Reading is paused until all buffered commands are processed, so the end is not read before that."""
     async with running_program() as s:
+        disable_sweep(s)
         await prepare_idle_connection(s)
         sock = connect_raw(s)
         sock.sendall(codec.command(b"PING") * 2000 + b"".join(read(n) for n in range(1, 41)))
@@ -241,6 +242,25 @@
         sock.close()
 
 
+@async_test
+async def test_buffered_requests_are_dropped_once_the_sweep_finds_the_disconnect():
+    """The sweep asks the kernel for connections that are not read: what is buffered is not even submitted."""
+    async with running_program() as s:
+        await prepare_idle_connection(s)
+        sweep = s.program.front.sweep
+        disable_sweep(s)
+        sock = connect_raw(s)
+        sock.sendall(codec.command(b"PING") * 2000 + b"".join(read(n) for n in range(1, 41)))
+        await s.until(lambda: any(c.parser.has_more for c in s.program.front.clients))
+        half_closes(sock)
+        sweep()
+        await serve_other_client(s)
+        assert s.program.front.submitted_count == 2
+        assert not s.program.front.open_request_count()
+        assert not any(count_attempts(s, number) for number in range(1, 41))
+        sock.close()
+
+
 @pytest.mark.parametrize("may_cancel", [False, True])
 @async_test
 async def test_a_partly_written_request_is_stopped_after_a_disconnect(may_cancel, monkeypatch):
