--- a/cressrock/platform/server_list.py
+++ b/cressrock/platform/server_list.py
@@ -89,7 +89,7 @@
         return NodeList(kind, tuple(nodes))
 
     def _read_entries(self, values: list[Any]) -> list[ServerEntry]:
-        """Return the usable entries, and the last usable ones of servers whose entry is not.
+        """Return the usable entries, and the last usable ones of servers that have no usable one.
 
         Raises ListError if there are entries and none is usable.
         """
@@ -102,7 +102,8 @@
                 kept.extend(self._last_entry(value))
         if self.rejected_entries and not entries:
             raise ListError(f"no entry can be used; the first: {self.rejected_entries[0]}")
-        return entries + kept
+        usable_names = {entry.name for entry in entries}
+        return entries + [entry for entry in kept if entry.name not in usable_names]
 
     def _last_entry(self, value: Any) -> list[ServerEntry]:
         """Return the last usable entry of the server that an unusable one names, if there is one.
--- a/tests/test_discovery_fuzz.py
+++ b/tests/test_discovery_fuzz.py
@@ -95,6 +95,16 @@
     return st.lists(change, min_size=1, max_size=3).map(lambda changes: with_changes(answer, changes))
 
 
+def test_an_unusable_second_entry_of_a_server_does_not_revoke_its_drain():
+    """Regression: the last usable entry was taken over behind the drain that the same list reports."""
+    servers = ServerList(("a",))
+    servers.receive(PLATFORM_ANSWER, NOW_MS, WALL_MS)
+    changes = [(("seq",), 8), (("hosts", 0, "health"), "leaving"), (("hosts", 1, "host"), "s0")]
+    twice = with_changes(PLATFORM_ANSWER, [*changes, (("hosts", 1, "born_ms"), HUGE)])
+    report = servers.receive(twice, NOW_MS, WALL_MS)
+    assert [(node.name, node.state) for node in report.nodes] == [("s0", NodeState.DRAINING)]
+
+
 @pytest.mark.parametrize("field", ["born_ms", "block", "host", "dial", "health", "site"])
 def test_a_number_of_401_digits_in_an_entry_leaves_the_rest_of_the_list(field):
     """Regression: a start time of 401 digits ended the process with OverflowError."""
