--- a/cressrock/lab/memory_drill.py
+++ b/cressrock/lab/memory_drill.py
@@ -8,11 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-import json
-import os
 import random
 import signal
-import sys
 import tempfile
 import time
 from dataclasses import dataclass, field
@@ -21,6 +18,7 @@
 from typing import Any
 
 from cressrock.lab.platform import Discovery, answer, config
+from cressrock.lab.platform_process import PlatformProcess
 from cressrock.resp import codec
 
 PIECE = b"7f3a9c21e0b4d655"
@@ -147,18 +145,16 @@
     """One play: the stand-ins, the dispatcher's process and the clients."""
 
     def __init__(self, play: MemoryPlay, command: list[str] | None = None, root: Path | None = None) -> None:
-        """`command` starts the dispatcher in the folder `root`; by default, it is this code."""
+        """`command` and `root` are those of `PlatformProcess`."""
         self.play = play
-        self.command = command or [sys.executable, "-m", "cressrock", "platform"]
-        self.root = root or Path(__file__).resolve().parents[2]
+        self.command = command
+        self.root = root
         self.random = random.Random(play.seed)
         self.result = MemoryResult()
         self.sizes: dict[bytes, int] = {}
         self.request_count = 0
         self.is_over = False
         self.servers = [_StorageServer(self.sizes) for _ in range(SERVERS)]
-        self.process: asyncio.subprocess.Process | None = None
-        self.address = ("", 0)
 
     async def run(self) -> MemoryResult:
         """Play, and return what was seen."""
@@ -167,13 +163,14 @@
             await server.start()
             discovery.put(f"s{index}", server.address, index)
         with tempfile.TemporaryDirectory() as folder:
+            self.dispatcher = PlatformProcess(Path(folder), self.command, self.root)
             try:
-                await self._start(discovery, Path(folder))
+                await self.dispatcher.start(self._settings(discovery))
                 async with asyncio.timeout(PLAY_LIMIT_S):
                     await self._play()
             finally:
                 await self._end()
-                self.result.log = (Path(folder) / "log").read_text(errors="replace")
+                self.result.log = self.dispatcher.log()
         return self.result
 
     # --- the process
@@ -194,55 +191,28 @@
         found["known"] = discovery.whole()
         return found
 
-    async def _start(self, discovery: Discovery, folder: Path) -> None:
-        path = folder / "config.json"
-        path.write_text(json.dumps(self._settings(discovery)))
-        environment = os.environ | {"LB_CONFIG": str(path), "PYTHONUNBUFFERED": "1"}
-        with (folder / "log").open("wb") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                *self.command, cwd=self.root, env=environment, stdout=log, stderr=log
-            )
-        async with asyncio.timeout(PLAY_LIMIT_S):
-            while "serving at" not in (text := (folder / "log").read_text()):
-                if self.process.returncode is not None:
-                    raise RuntimeError(f"the dispatcher did not start: {text}")
-                await asyncio.sleep(0.05)
-        host, _, port = text.split("serving at ")[1].split()[0].rpartition(":")
-        self.address = (host, int(port))
-
     async def _end(self) -> None:
         self.is_over = True
-        process = self.process
-        if process is None:
-            return
-        if process.returncode is None and self.play.trouble is not Trouble.TERM:
-            process.kill()
-        try:
-            async with asyncio.timeout(10):
-                code = await process.wait()
-        except TimeoutError:
-            process.kill()
-            code = await process.wait()
-        if self.play.trouble is Trouble.TERM:
+        is_told_to_end = self.play.trouble is Trouble.TERM
+        code = await self.dispatcher.end(is_ending=is_told_to_end)
+        if is_told_to_end:
             self.result.exit_code = code
 
     def _memory_mb(self) -> float:
-        assert self.process is not None
         try:
-            lines = Path(f"/proc/{self.process.pid}/status").read_text().splitlines()
+            lines = Path(f"/proc/{self.dispatcher.started.pid}/status").read_text().splitlines()
         except OSError:
             return 0.0
         return sum(int(line.split()[1]) / 1024 for line in lines if line.startswith("RssAnon"))
 
     async def _watch_memory(self) -> None:
         """Kill the process once it is over its limit, as the platform does."""
-        assert self.process is not None
         while not self.is_over:
             memory_mb = self._memory_mb()
             self.result.highest_mb = max(self.result.highest_mb, memory_mb)
             if memory_mb > self.play.memory_mb and not self.result.is_killed:
                 self.result.is_killed = True
-                self.process.kill()
+                self.dispatcher.started.kill()
             await asyncio.sleep(MEMORY_CHECK_S)
 
     # --- the clients
@@ -268,7 +238,8 @@
         answers = Answers()
         self.result.batches.append(answers)
         clients = [
-            await asyncio.open_connection(*self.address, limit=1 << 17) for _ in range(self.play.connections)
+            await asyncio.open_connection(*self.dispatcher.address, limit=1 << 17)
+            for _ in range(self.play.connections)
         ]
         troubled = self._start_trouble(trouble, len(clients))
         try:
@@ -292,9 +263,8 @@
             elif trouble is Trouble.SLOW:
                 server.work_s = SLOW_WORK_S
         if trouble is Trouble.TERM:
-            assert self.process is not None
             self.servers[0].going_on.clear()
-            loop.call_later(0.2, self.process.send_signal, signal.SIGTERM)
+            loop.call_later(0.2, self.dispatcher.started.send_signal, signal.SIGTERM)
         return int(client_count * TROUBLED_FRACTION) if trouble in (Trouble.LEAVE, Trouble.UNREAD) else 0
 
     def _end_trouble(self) -> None:
@@ -322,7 +292,7 @@
 
     async def _quick_client(self, number: int) -> None:
         """Send a short read, wait for its answer, pause; until the play is over."""
-        reader, writer = await asyncio.open_connection(*self.address)
+        reader, writer = await asyncio.open_connection(*self.dispatcher.address)
         while not self.is_over:
             name, command = self._command(number, is_quick=True)
             self.result.quick.sent += 1
