--- a/cressrock/resp/connection_pool.py
+++ b/cressrock/resp/connection_pool.py
@@ -22,7 +22,8 @@
 from cressrock.dispatch.transport import AttemptResult, Call
 from cressrock.interface import Outcome
 from cressrock.resp import codec
-from cressrock.resp.outcomes import parse_load, parse_outcome
+from cressrock.resp.duplicate_answers import AnswerTimes, RecentAnswers
+from cressrock.resp.outcomes import Answer, parse_answer
 from cressrock.resp.receive_buffer import SharedBufferProtocol
 from cressrock.resp.reply_progress import ReplyProgress
 from cressrock.resp.reuse_delay import ReuseDelay
@@ -61,6 +62,8 @@
         "held_bytes",
         "is_paused",
         "is_lost",
+        "is_retired",
+        "recent_answers",
     )
 
     def __init__(self, pool: RespTransport, node: str, address: tuple[str, int] | None = None) -> None:
@@ -77,6 +80,8 @@
         self.held_bytes = 0  # of that part and of an incomplete answer, as accounted for
         self.is_paused = False  # an answer is not read on, since there is no memory for it
         self.is_lost = False
+        self.is_retired = False  # is closed after the attempt that it carries
+        self.recent_answers = RecentAnswers()
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
@@ -126,53 +131,102 @@
     def data_received(self, data: bytes) -> None:
         attempt = self.attempt
         if attempt is None:
-            # Unrequested bytes: whatever is read next on this connection could be the rest of them.
-            self.pool.unrequested_input_count += 1
-            if self.has_answered:
-                self.pool.reuse_delay.record_late_bytes(self.pool.clock() - self.idle_since)
-            self.pool._drop(self)
+            self._receive_unrequested(data)
             return
         self.parser.feed(data)
         try:
-            reply = self.parser.next()
+            answer = self._next_answer(attempt)
         except codec.ProtocolError as exc:
             self.pool.invalid_answer_count += 1
             self.pool._drop(self)
             attempt.finish(Outcome.ERROR, f"invalid reply: {exc}")
             return
-        if reply is None:
-            self.pool._track_progress(attempt, self.parser)
+        if answer is None:
+            if self.parser.buffered_bytes:
+                self.pool._track_progress(attempt, self.parser)
             self.update_held()
             return
         if self.held_bytes:
             self.update_held()
-        outcome, value, text = parse_outcome(reply[0])
-        used, cost = parse_load(reply[0])
+        self._complete(attempt, answer)
+
+    def _receive_unrequested(self, data: bytes) -> None:
+        """Close the connection: whatever is read next on it could be the rest of these bytes."""
+        self.pool.unrequested_input_count += 1
+        now = self.pool.clock()
+        if self.has_answered:
+            self.pool.reuse_delay.record_late_bytes(now - self.idle_since)
+        self.parser.feed(data)
+        try:
+            reply = self.parser.next()
+        except codec.ProtocolError:
+            reply = None
+        self.pool._drop(self)
+        if reply is not None and self.has_answered:
+            answer = parse_answer(reply[0])
+            if not self.recent_answers.contains(now, answer):
+                # It answers the last request, which was given the answer of an earlier one.
+                self.pool.retire(self.node)
+
+    def _next_answer(self, attempt: _InFlightAttempt) -> Answer | None:
+        """Return the answer to the attempt's request, or None while it is missing.  Raises ProtocolError."""
+        while (reply := self.parser.next()) is not None:
+            answer = parse_answer(reply[0])
+            if self.has_unsent or not self._may_be_duplicate(attempt, answer):
+                return answer
+            attempt.hold(answer)
+        return None
+
+    def _may_be_duplicate(self, attempt: _InFlightAttempt, answer: Answer) -> bool:
+        """Return whether an answer may be a late duplicate of one to an earlier request."""
+        answer_ms = attempt.answered_at() - attempt.written_at
+        if not self.pool.answer_times.is_early(self.node, answer.outcome, answer_ms):
+            return False
+        return self.recent_answers.contains(self.pool.clock(), answer)
+
+    def _complete(self, attempt: _InFlightAttempt, answer: Answer) -> None:
+        """End the attempt with its answer, and reuse or close the connection."""
+        now = self.pool.clock()
+        outcome = answer.outcome
         self.attempt = None
-        self.has_answered = True
         if self.has_unsent:
             # A server starts only when it has the last byte, so an earlier reply belongs to another request
             # or refuses this one.  The connection cannot be reused: the rest of the request would be sent
             # ahead of the next one.
+            self.has_answered = True
             self.pool.unrequested_input_count += outcome is not Outcome.FULL
             self.pool._drop(self)
             if outcome is Outcome.FULL:
-                attempt.finish(outcome, text, value, used, cost)
+                attempt.finish_with(answer)
             else:
                 attempt.finish(
                     Outcome.NO_CONNECTION, "received a reply before the request was completely written"
                 )
             return
-        if self.parser.is_partial:
+        if attempt.held is not None:
+            self._record_duplicate(attempt.held.arrived_at)
+        elif self.parser.is_partial:
             self.pool.unrequested_input_count += 1
             self.pool._drop(self)
-        elif outcome is Outcome.ERROR and not isinstance(reply[0], codec.ErrorReply):
-            # Complete, but not a valid answer: later replies on this connection could not be matched either.
+        elif answer.is_malformed:
+            # Later replies on this connection could not be matched either.
             self.pool.invalid_answer_count += 1
             self.pool._drop(self)
         else:
+            self.recent_answers.add(now, answer)
+            answer_ms = attempt.answered_at() - attempt.written_at
+            self.pool.answer_times.record(self.node, outcome, answer_ms, now)
             self.pool._release(self)
-        attempt.finish(outcome, text, value, used, cost)
+        self.has_answered = True
+        attempt.finish_with(answer)
+
+    def _record_duplicate(self, arrived_at: float) -> None:
+        """Close the connection and those of its server that may have been given another request's answer."""
+        self.pool.unrequested_input_count += 1
+        self.pool.duplicate_count += 1
+        self.pool.reuse_delay.record_late_bytes(arrived_at - self.idle_since)
+        self.pool._drop(self)
+        self.pool.retire(self.node)
 
     def eof_received(self) -> bool:
         attempt = self.attempt
@@ -209,6 +263,16 @@
         return not poll.poll(0)
 
 
+@dataclass(frozen=True, slots=True)
+class _HeldAnswer:
+    """An answer that may be a duplicate and is held back; times in milliseconds."""
+
+    outcome: Outcome
+    arrived_at: float
+    answer_ms: float  # since the request was written
+    until: float  # the request's own answer is waited for until then
+
+
 class _InFlightAttempt:
     """One attempt in flight."""
 
@@ -224,6 +288,8 @@
         "progress",
         "awaited",
         "scheduled_at",
+        "written_at",
+        "held",
     )
 
     def __init__(self, pool: RespTransport, call: Call) -> None:
@@ -238,6 +304,8 @@
         self.progress: ReplyProgress | None = None  # of a partly received answer
         self.awaited: _Connection | None = None  # the connection whose reuse it waits for
         self.scheduled_at = _NEVER  # when the pool's timer checks it next
+        self.written_at = 0.0  # when its request was handed to the kernel
+        self.held: _HeldAnswer | None = None  # the possible duplicate that arrived first
         pool.active_count += 1
 
     def stop(self) -> None:
@@ -259,10 +327,35 @@
         progress_check_at = _NEVER
         if self.progress is not None and not is_paused:
             progress_check_at = self.progress.next_check_at()
+        elif self.held is not None:
+            progress_check_at = self.held.until
         awaited = self.awaited
         ready_at = _NEVER if awaited is None else self.pool.reuse_delay.ready_at(awaited.idle_since)
         return min(self.deadline, self.leave_by, self.queued_until, progress_check_at, ready_at)
 
+    def answered_at(self) -> float:
+        """Return when the first bytes of the answer arrived that is now complete."""
+        return self.pool.clock() if self.progress is None else self.progress.started_at
+
+    def hold(self, answer: Answer) -> None:
+        """Do not end with this answer, which may be a duplicate, but wait for another one."""
+        pool, connection = self.pool, cast(_Connection, self.connection)
+        if self.held is None:
+            until = self.written_at + pool.answer_times.hold_ms(connection.node, answer.outcome)
+            answer_ms = self.answered_at() - self.written_at
+            self.held = _HeldAnswer(answer.outcome, pool.clock(), answer_ms, until)
+        self.progress = None
+        pool._schedule_check(self)
+
+    def fail_held(self, held: _HeldAnswer, now: float) -> None:
+        """Fail: only a possible duplicate has arrived, and the request's own answer is overdue."""
+        pool, connection = self.pool, cast(_Connection, self.connection)
+        pool.doubtful_count += 1
+        # If it was no duplicate, the server has become faster.
+        pool.answer_times.record(connection.node, held.outcome, held.answer_ms, now)
+        pool._drop(connection)
+        self.finish(Outcome.ERROR, "only an answer that may be a duplicate of an earlier one arrived")
+
     def stop_sending(self) -> None:
         """Stop sending; a request that was not written completely never ran."""
         self._give_up(
@@ -284,6 +377,10 @@
         self.pool._drop(connection)
         self.finish(outcome, text)
 
+    def finish_with(self, answer: Answer) -> None:
+        """Report an answer as the outcome."""
+        self.finish(answer.outcome, answer.text, answer.value, answer.used, answer.units_elsewhere)
+
     def finish(
         self, outcome: Outcome, text: str = "", value: bytes | None = None, used: int = 0, cost: float = 0.0
     ) -> None:
@@ -300,7 +397,7 @@
             self.pool._return_idle(awaited)
         self.pool.active_count -= 1
         # Latency ends with the first bytes: waiting for the rest of a broken answer is not the server's load.
-        answered_at = self.pool.clock() if self.progress is None else self.progress.started_at
+        answered_at = self.answered_at()
         call, self.call = self.call, cast(Call, None)  # the timer may hold this object long after its end
         call.end(AttemptResult(outcome, answered_at - call.attempt.sent_at_ms, value, used, cost, text))
 
@@ -326,6 +423,7 @@
         # While not None, only the answers to the attempts for which it returns True are read.
         self.may_read: Callable[[Call], bool] | None = None
         self.reuse_delay = ReuseDelay(bounds.stall_ms)
+        self.answer_times = AnswerTimes()
         self.idle_connections: dict[str, OrderedDict[_Connection, None]] = {}
         self.open_connections: dict[_Connection, None] = {}
         self.connecting_count = 0
@@ -334,6 +432,8 @@
         self.reused_count = 0
         self.unrequested_input_count = 0  # connections closed because of unrequested bytes
         self.invalid_answer_count = 0  # connections closed because of an invalid or incomplete answer
+        self.duplicate_count = 0  # duplicates that came ahead of the answer to the next request
+        self.doubtful_count = 0  # attempts that failed since only a possible duplicate came
         self.active_count = 0  # attempts without an outcome
         self._closing: set[_Connection] = set()  # reset, and closed later in the event loop's iteration
         self._checks: list[tuple[float, int, _InFlightAttempt]] = []
@@ -438,6 +538,13 @@
         for connection in [*self.idle_connections.pop(node, ()), *awaited_connections]:
             self._drop(connection)
 
+    def retire(self, node: str) -> None:
+        """Reuse none of the connections to a node; those that carry an attempt are closed after it."""
+        self.close_idle(node)
+        for connection in self.open_connections:
+            if connection.node == node:
+                connection.is_retired = True
+
     def close_expired(self) -> None:
         """Close connections idle for so long that the server may soon close them."""
         oldest = self.clock() - self.bounds.idle_close_ms * self.bounds.idle_part
@@ -547,8 +654,9 @@
     def _write(self, connection: _Connection, attempt: _InFlightAttempt) -> None:
         connection.attempt = attempt
         attempt.connection = connection
+        attempt.written_at = self.clock()
         call = attempt.call
-        connection.transport.write(call.op.command(call.deadline - self.clock()))
+        connection.transport.write(call.op.command(call.deadline - attempt.written_at))
         if connection.transport.is_closing():
             # The kernel took no byte: a partial write succeeds and does not close the transport.
             connection.has_unsent = True
@@ -562,7 +670,7 @@
         connection.attempt = None
         if connection.is_lost or connection.transport.is_closing():
             return
-        if self._has_moved(connection):
+        if connection.is_retired or self._has_moved(connection):
             # `close_idle` closes idle connections only; this one was in use or connecting at the time.
             self._drop(connection)
             return
@@ -682,6 +790,8 @@
             attempt.stop_sending()
         elif attempt.awaited is not None and now >= self.reuse_delay.ready_at(attempt.awaited.idle_since):
             self._write_to_awaited(attempt)
+        elif attempt.held is not None and attempt.progress is None and now >= attempt.held.until:
+            attempt.fail_held(attempt.held, now)
         elif (
             attempt.progress is not None
             and not (connection is not None and connection.is_paused)
--- a/cressrock/resp/outcomes.py
+++ b/cressrock/resp/outcomes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from dataclasses import dataclass
 
 from cressrock.interface import Outcome
 from cressrock.resp.codec import ErrorReply, Reply
@@ -14,6 +15,26 @@
 _USAGE_FIELD = re.compile(r"(?:^|[ ,])(used|cost)=([0-9]{1,9}(?:\.[0-9]{1,6})?)(?=$|[ ,])")
 
 
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A storage server's reply to a request; see `parse_outcome` and `parse_load` for the fields."""
+
+    outcome: Outcome
+    value: bytes | None
+    text: str
+    used: int
+    units_elsewhere: float
+    is_malformed: bool  # complete, but not a reply that a server may send
+
+
+def parse_answer(reply: Reply) -> Answer:
+    """Return a reply as an answer."""
+    outcome, value, text = parse_outcome(reply)
+    used, units_elsewhere = parse_load(reply)
+    is_malformed = outcome is Outcome.ERROR and not isinstance(reply, ErrorReply)
+    return Answer(outcome, value, text, used, units_elsewhere, is_malformed)
+
+
 def parse_outcome(reply: Reply) -> tuple[Outcome, bytes | None, str]:
     """Return the outcome, the value (only with OK), and a text for the log (empty with OK)."""
     if isinstance(reply, list):
