--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -474,6 +474,19 @@
     assert verdict(sent(), stopped={"d0": [[1100.0, 6000.0]]}) == []
 
 
+def test_pauses_of_the_loop_that_follow_each_other_delay_what_its_clients_see():
+    """The trace of a loaded machine: due at 4,890 ms, seen at 6,225, 5 ms between two pauses of the loop."""
+    late = (sent(3890.0), ended(6225.0))
+    loop_pauses = [[4173.0, 5782.0], [5787.0, 6243.0]]
+    pauses = [[at, to, to - at] for at, to in loop_pauses]
+    assert verdict(*late, pauses=pauses) == [1]
+    assert verdict(*late, pauses=pauses, loop_pauses=loop_pauses) == []
+    assert verdict(sent(3890.0), ended(6350.0), loop_pauses=loop_pauses) == [1]  # the loop ran for 107 ms
+    assert verdict(*late, loop_pauses=[[4173.0, 5482.0], [5787.0, 6243.0]]) == [1]  # it ran in between
+    assert verdict(*late, loop_pauses=[[1000.0, 4800.0]]) == [1]  # before it was due
+    assert verdict(*late, ended(6230.0), loop_pauses=loop_pauses) == [1]  # a second answer
+
+
 def test_no_pause_excuses_what_rests_on_no_time():
     pauses = [[t, t + 100.0, 90.0] for t in range(0, 10000, 100)]
     again = [at_node(1010, "came"), at_node(1020, "ran"), at_node(1030, "answered")]
