--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -24,11 +24,13 @@
 from cressrock.resp import codec
 from cressrock.resp import front as front_module
 from cressrock.resp.codec import ErrorReply, StatusReply
-from cressrock.resp.connection_pool import PoolBounds, RespTransport, _Connection, _InFlightAttempt
+from cressrock.resp.connection_pool import PoolBounds, RespTransport
 from cressrock.resp.front import Front, FrontBounds
+from cressrock.resp.in_flight_attempt import InFlightAttempt
 from cressrock.resp.lingering import LingerBounds
 from cressrock.resp.memory_account import MIB
 from cressrock.resp.request import CommandReader
+from cressrock.resp.server_connection import ServerConnection
 
 PIECE = b"7f3a9c21e0b4d655"
 DISPATCHER_BYTES = 24 * MIB  # of a process of its own as it begins to serve
@@ -634,9 +636,9 @@
 def pool_with_attempt(now):
     """Return a pool, a connection that carries an attempt, and its call; `now[0]` is the time."""
     pool = RespTransport(BOUNDS, lambda: now[0], lambda name: None)
-    connection, call = _Connection(pool, "s0"), Call()
+    connection, call = ServerConnection(pool, "s0"), Call()
     connection.transport = RecordingTransport()
-    flight = _InFlightAttempt(pool, call)
+    flight = InFlightAttempt(pool, call)
     pool._write(connection, flight)
     return pool, connection, call
 
--- a/tests/test_platform_pool.py
+++ b/tests/test_platform_pool.py
@@ -18,10 +18,12 @@
 from cressrock.dispatch.ledger import Attempt, Ledger
 from cressrock.interface import DeduplicationScope, Idempotency, Node, Outcome, RequestClass
 from cressrock.lab.platform import answer
-from cressrock.resp import codec, connection_pool
+from cressrock.resp import codec
 from cressrock.resp.connection_pool import RespTransport
+from cressrock.resp.in_flight_attempt import InFlightAttempt
 from cressrock.resp.reply_progress import ReplyProgress
 from cressrock.resp.reuse_delay import MIN_DELAY_MS, ReuseDelay
+from cressrock.resp.server_connection import ServerConnection
 from tests.test_platform import BOUNDS, Call, async_test, pool_with_attempt
 
 FAR_MS = 60000.0
@@ -131,7 +133,7 @@
 
     def close(self):
         for connection in list(self.pool.open_connections):
-            self.pool._drop(connection)
+            self.pool.drop(connection)
         self.peer.close()
 
 
@@ -157,13 +159,13 @@
 
 def patch_connection_made(monkeypatch, hook):
     """Call `hook(connection)` when a connection is established, before its attempt is notified."""
-    original = connection_pool._Connection.connection_made
+    original = ServerConnection.connection_made
 
     def connection_made(self, transport):
         original(self, transport)
         hook(self)
 
-    monkeypatch.setattr(connection_pool._Connection, "connection_made", connection_made)
+    monkeypatch.setattr(ServerConnection, "connection_made", connection_made)
 
 
 def block_until_readable(connection):
@@ -228,7 +230,7 @@
     reset(end)
     block_until_readable(connection)
     call = Call()
-    harness.pool._write(connection, connection_pool._InFlightAttempt(harness.pool, call))
+    harness.pool._write(connection, InFlightAttempt(harness.pool, call))
     assert (await harness.ended(call)).outcome is Outcome.NO_CONNECTION
 
 
@@ -241,7 +243,7 @@
     end.shutdown(socket.SHUT_WR)
     block_until_readable(connection)
     call = Call()
-    harness.pool._write(connection, connection_pool._InFlightAttempt(harness.pool, call))
+    harness.pool._write(connection, InFlightAttempt(harness.pool, call))
     assert (await harness.ended(call)).outcome is Outcome.RESET
 
 
