--- a/cressrock/lab/judge.py
+++ b/cressrock/lab/judge.py
@@ -95,9 +95,22 @@
         return [self.found[index][2] for index in touched]
 
 
-def length_within(intervals: Iterable[list[float]], begin: float, end: float) -> float:
-    """Return how much of a time lies in intervals [from, to] that do not overlap each other.  Pure."""
-    return sum(max(0.0, min(to, end) - max(at, begin)) for at, to in intervals)
+class Pauses:
+    """Times [from, to] in which a loop did not run; they do not overlap and are in order.  Pure."""
+
+    def __init__(self, found: list[list[float]]) -> None:
+        """All in milliseconds."""
+        self.found = found
+        self.ends = [to for _, to in found]
+
+    def within(self, begin: float, end: float) -> float:
+        """Return how much of the time from `begin` to `end` lies in pauses."""
+        total = 0.0
+        for at, to in self.found[bisect_right(self.ends, begin) :]:
+            if at >= end:
+                break
+            total += min(to, end) - max(at, begin)
+        return total
 
 
 def judge(trace: Trace) -> Judgement:
@@ -112,9 +125,7 @@
         self.way = float(self.facts["way_ms"])
         self.pauses = Measured(self.facts.get("pauses", []))
         self.links = Measured(self.facts.get("links", []))
-        self.loop_pauses: list[list[float]] = self.facts.get(
-            "loop_pauses", []
-        )  # [from, to] of the lab's loop
+        self.loop_pauses = Pauses(self.facts.get("loop_pauses", []))  # of the lab's own loop
         self.stopped: dict[str, list[list[float]]] = self.facts.get("stopped", {})
         self.found = Judgement()
         self.clients: dict[str, _Client] = {}
@@ -218,8 +229,7 @@
                 continue
             if over.what == "cut" and not lost and not self._node_broke(client):
                 self._breach(1, over.t_ms, name, "the connection was cut without an answer")
-            is_late = over.t_ms > due + max(way, self._way_of_answer(due, over.t_ms))
-            if over.what == "answered" and is_late and not over.detail == "streamed":
+            if over.what == "answered" and self._is_late(over, due, way) and not over.detail == "streamed":
                 self._breach(1, over.t_ms, name, f"answered {over.t_ms - due:.0f} ms after its time")
             for sending in client.sendings:
                 if sending.came.t_ms > over.t_ms + self._way(sent.dispatcher, over.t_ms, sending.came.t_ms):
@@ -231,13 +241,14 @@
                         f"{sending.came.method} came to {sending.came.node} {late:.0f} ms after {over.what}",
                     )
 
-    def _way_of_answer(self, due: float, seen: float) -> float:
-        """Return by how much an answer that was in time may have been seen after its time, in milliseconds.
+    def _is_late(self, over: Row, due: float, way: float) -> bool:
+        """Return whether an answer was late, by more than what was measured at the time.
 
         The clients live in the lab's own loop.  It reads no answer in its pauses, however many follow each
         other; an answer that it has not read once it ran for the stated bound was not there.
         """
-        return self.way + length_within(self.loop_pauses, due, seen)
+        late_ms = over.t_ms - due
+        return late_ms > way and late_ms > self.way + self.loop_pauses.within(due, over.t_ms)
 
     def _held_too_long(self, sent: Row, due: float) -> bool:
         """Whether the dispatcher could not answer before the client gave up waiting, long after its time."""
