--- a/cressrock/consensus/replica.py
+++ b/cressrock/consensus/replica.py
@@ -66,6 +66,7 @@
 
 # A snapshot is taken at this fraction of the log's limits; it replaces the log at the full limits.
 SNAPSHOT_FRACTION = 0.5
+SLOW_WRITE_MS = 100.0  # a longer write of the store is logged
 
 
 class ConsensusReplica:
@@ -355,11 +356,7 @@
 
     async def _process_batch(self, raft: RaftNode, ready: Ready) -> None:
         if ready.must_persist and self.store is not None:
-            await self.environment.run_blocking(
-                partial(
-                    self.store.write, ready.hard_state, ready.snapshot, ready.entries, ready.truncate_from
-                )
-            )
+            await self._persist(self.store, ready)
         self._send(ready)
         if ready.restore_snapshot and ready.snapshot is not None:
             self.decisions = DecisionState.restore(ready.snapshot.data, ready.snapshot.index)
@@ -375,6 +372,15 @@
                 self.publish(renewed)
         raft.advance(ready)
 
+    async def _persist(self, store: ReplicaStore, ready: Ready) -> None:
+        began_ms = self.environment.clock()
+        await self.environment.run_blocking(
+            partial(store.write, ready.hard_state, ready.snapshot, ready.entries, ready.truncate_from)
+        )
+        duration_ms = self.environment.clock() - began_ms
+        if duration_ms > SLOW_WRITE_MS:
+            self.environment.log_event("consensus.slow_write", ms=round(duration_ms, 1))
+
     def _send(self, ready: Ready) -> None:
         for receiver, message in ready.messages:
             connection = self.connections.get(replica_name(receiver))
--- a/cressrock/lab/processes.py
+++ b/cressrock/lab/processes.py
@@ -31,7 +31,12 @@
 READY_S = 60.0  # the bound of a start; a start takes below a second where there is a core for it
 END_S = 10.0  # how long an orderly end may take before it is a SIGKILL
 MOST_LINES = 200  # of a life's log kept in memory; all of it is in its file
-DELAY_EVENTS = ("event_loop.slow_turn", "state_file.slow_write")  # what made a process late
+DELAY_EVENTS = (  # what made a process late, or kept it from deciding
+    "event_loop.slow_turn",
+    "state_file.slow_write",
+    "consensus.slow_write",
+    "consensus.role_changed",
+)
 
 
 @dataclass(slots=True)
