--- a/tests/gossip/test_member_processes.py
+++ b/tests/gossip/test_member_processes.py
@@ -53,7 +53,7 @@
         assert processes[1].process.wait(60) == 0
         rest = [processes[0], *processes[2:5]]
         wait_for_processes(lambda: all_views_are(expected | {"p1": [1, "left"]}, rest), processes)
-        assert not any(("MemberDead", "p1") in p.events for p in rest)
+        assert not any(("MemberDead", "p1") in p.events for p in rest), [p.events for p in rest]
     finally:
         for process in processes:
             process.end()
