--- a/cressrock/consensus/raft/node.py
+++ b/cressrock/consensus/raft/node.py
@@ -9,7 +9,7 @@
 
 Safety does not depend on clocks: votes, log and commits stay correct however wrong the clocks are, and a read
 is confirmed by a heartbeat round that began after the read was requested.  Clocks only decide when a replica
-campaigns, and when a leader that gets no answers from its quorum steps down.
+campaigns, and when a leader that gets no answers from its quorum steps down; both later on a slow disk.
 """
 
 from __future__ import annotations
@@ -281,6 +281,10 @@
             self._become_follower(self.term, "")
         replication.send_pending()
 
+    def record_write(self, write_ms: float, now_ms: float) -> None:
+        """Record how long a batch took to persist: slow writes lengthen this replica's timeouts."""
+        self.replica.write_times.record(write_ms, now_ms)
+
     def advance(self, ready: Ready) -> None:
         """Confirm that `ready` was persisted, sent and applied."""
         self._batch_outstanding = False
@@ -442,7 +446,8 @@
 
     def _leader_is_alive(self) -> bool:
         """Whether contact with a leader is recent enough that votes for others are refused (4.2.3)."""
-        replica, stickiness_ms = self.replica, self.replica.settings.effective_stickiness_ms
+        replica = self.replica
+        stickiness_ms = replica.settings.effective_stickiness_ms * replica.slowdown()
         if replica.role is Role.LEADER:
             return replica.now_ms < self.replication.quorum_acked_at_ms() + stickiness_ms
         return bool(replica.leader) and replica.now_ms < replica.last_leader_contact_ms + stickiness_ms
--- a/cressrock/consensus/raft/replication.py
+++ b/cressrock/consensus/raft/replication.py
@@ -80,7 +80,10 @@
 
     def lease_expires_at_ms(self) -> float:
         """Return when the lease expires, in ms; it runs from the start of the last acknowledged round."""
-        return self.quorum_acked_at_ms() + self.replica.settings.effective_lease_ms
+        return self.quorum_acked_at_ms() + self._lease_ms()
+
+    def _lease_ms(self) -> float:
+        return self.replica.settings.effective_lease_ms * self.replica.slowdown()
 
     def _record_ack(self, sender: str, acked_round: int) -> Progress | None:
         """Record that `sender` acknowledged a round; return its progress, None if the reply is unusable."""
@@ -256,7 +259,7 @@
         self.round += 1
         self.round_starts.append((self.round, replica.now_ms))
         # Acknowledging a round older than the lease does not renew it.
-        while self.round_starts[0][1] + 2 * replica.settings.effective_lease_ms < replica.now_ms:
+        while self.round_starts[0][1] + 2 * self._lease_ms() < replica.now_ms:
             self.round_starts.popleft()
         while len(self.round_starts) > MAX_TRACKED_ROUNDS:
             self.round_starts.popleft()
--- a/cressrock/consensus/raft/settings.py
+++ b/cressrock/consensus/raft/settings.py
@@ -9,9 +9,9 @@
 class RaftSettings:
     """Timing in milliseconds and limits of a replica; they must be the same at all replicas of a group.
 
-    `election_ms` must be well above `heartbeat_ms` plus the slowest round trip and disk write between
-    replicas: if it is too low, leaders are deposed without any fault; a higher value only lengthens the
-    failover after a leader has failed.
+    `election_ms` must be well above `heartbeat_ms` plus the slowest round trip between replicas: if it is
+    too low, leaders are deposed without any fault; a higher value only lengthens the failover after a leader
+    has failed.  A replica whose disk writes slowly lengthens it for itself (`write_times`).
     """
 
     election_ms: float = 1000.0  # deadlines are random in [election_ms, 2 * election_ms)
--- a/cressrock/consensus/raft/state.py
+++ b/cressrock/consensus/raft/state.py
@@ -11,6 +11,7 @@
 from cressrock.consensus.raft.persistent_state import HardState, Snapshot, StoredState
 from cressrock.consensus.raft.progress import NEVER_MS
 from cressrock.consensus.raft.settings import RaftSettings
+from cressrock.consensus.raft.write_times import WriteTimes
 
 FOREVER_MS = float("inf")
 
@@ -36,7 +37,7 @@
         "name", "settings", "random_source", "now_ms", "generation", "term", "voted_for", "commit", "log",
         "snapshot", "role", "leader", "last_leader_contact_ms", "deadline_ms", "outbox", "applied",
         "persisted_hard_state", "stable_index", "truncated_from", "unpersisted_snapshot", "restore_pending",
-        "excluded_reason", "drop_counts",
+        "excluded_reason", "drop_counts", "write_times",
     )  # fmt: skip
 
     def __init__(
@@ -68,6 +69,7 @@
         self.outbox: deque[tuple[str, RaftMessage]] = deque()
         self.excluded_reason = ""
         self.drop_counts: Counter[str] = Counter()
+        self.write_times = WriteTimes()
         self.reset_election_deadline()
 
     def advance_clock(self, now_ms: float) -> None:
@@ -75,8 +77,13 @@
         self.now_ms = max(self.now_ms, now_ms)
 
     def reset_election_deadline(self) -> None:
-        """Set the election deadline to a random one to two `election_ms` from now."""
-        self.deadline_ms = self.now_ms + self.settings.election_ms * (1.0 + self.random_source.random())
+        """Set the election deadline to a random one to two `election_ms` from now, later on a slow disk."""
+        election_ms = self.settings.election_ms * self.slowdown()
+        self.deadline_ms = self.now_ms + election_ms * (1.0 + self.random_source.random())
+
+    def slowdown(self) -> float:
+        """Return the factor by which this replica's disk lengthens its timeouts."""
+        return self.write_times.slowdown(self.settings.election_ms, self.now_ms)
 
     def may_campaign(self) -> bool:
         """Whether this replica is a voter and has not been excluded from the group."""
@@ -121,6 +128,7 @@
         for name in ReplicaState.__slots__:
             setattr(other, name, getattr(self, name))
         other.log = self.log.clone()
+        other.write_times = self.write_times.clone()
         other.outbox, other.drop_counts = deque(self.outbox), Counter(self.drop_counts)
         return other
 
--- a/cressrock/consensus/replica.py
+++ b/cressrock/consensus/replica.py
@@ -356,7 +356,7 @@
 
     async def _process_batch(self, raft: RaftNode, ready: Ready) -> None:
         if ready.must_persist and self.store is not None:
-            await self._persist(self.store, ready)
+            await self._persist(self.store, raft, ready)
         self._send(ready)
         if ready.restore_snapshot and ready.snapshot is not None:
             self.decisions = DecisionState.restore(ready.snapshot.data, ready.snapshot.index)
@@ -372,12 +372,14 @@
                 self.publish(renewed)
         raft.advance(ready)
 
-    async def _persist(self, store: ReplicaStore, ready: Ready) -> None:
+    async def _persist(self, store: ReplicaStore, raft: RaftNode, ready: Ready) -> None:
         began_ms = self.environment.clock()
         await self.environment.run_blocking(
             partial(store.write, ready.hard_state, ready.snapshot, ready.entries, ready.truncate_from)
         )
-        duration_ms = self.environment.clock() - began_ms
+        now_ms = self.environment.clock()
+        duration_ms = now_ms - began_ms
+        raft.record_write(duration_ms, now_ms)
         if duration_ms > SLOW_WRITE_MS:
             self.environment.log_event("consensus.slow_write", ms=round(duration_ms, 1))
 
--- a/tests/consensus/test_replica.py
+++ b/tests/consensus/test_replica.py
@@ -55,8 +55,9 @@
 class SimulatedCluster:
     """Replicas in one process over a simulated network whose connections can be cut."""
 
-    def __init__(self, tasks, path, seed, **changes):
+    def __init__(self, tasks, path, seed, *, write_s=0.0, **changes):
         self.tasks, self.path, self.seed, self.changes = tasks, path, seed, changes
+        self.write_s = write_s  # how long each write of a store takes
         self.net = SimNet(tasks, seed)
         self.clock = lambda: anyio.current_time() * 1000
         self.replicas, self.scopes, self.published, self.cut = {}, {}, {}, set()
@@ -72,9 +73,14 @@
         source = random.Random(f"{self.seed} {who} {self.incarnations}")
         wall = lambda: 1e12 + self.clock()  # noqa: E731
         return Environment(
-            self.clock, wall, connect, source, run_blocking=run_inline, random_bytes=source.randbytes
+            self.clock, wall, connect, source, run_blocking=self.write, random_bytes=source.randbytes
         )
 
+    async def write(self, work):
+        await run_inline(work)
+        if self.write_s:
+            await anyio.sleep(self.write_s)
+
     async def start(self, name, **changes):
         made = {"start": "found", "timing": FAST, "renewal_interval_ms": 200, **self.changes, **changes}
         pages = made.pop("max_pages", 0)
@@ -181,6 +187,31 @@
     run_simulation(seed, tmp_path, scenario)
 
 
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("write_s", [0.1, 0.25, 0.4])
+def test_a_leader_stays_although_each_write_takes_about_the_election_timeout(tmp_path, write_s, seed):
+    """Regression: each candidate was overtaken by the next one, and a leader's lease expired as it wrote."""
+
+    async def scenario(cluster):
+        for name in NAMES:
+            await cluster.start(name)
+        client = cluster.client()
+        for number in range(5):
+            await client.decide("zone/a", b"%d" % number, 5000, timeout_ms=20000)
+        leader = cluster.leader()
+        term = cluster.replicas[leader].raft.term
+        for number in range(20):
+            await client.decide("zone/a", b"%d" % number, 5000, timeout_ms=20000)
+        assert cluster.replicas[leader].raft.role is Role.LEADER
+        assert cluster.replicas[leader].raft.term == term
+        # Another one leads after it has stopped.
+        await cluster.stop(leader)
+        await client.decide("zone/a", b"last", 5000, timeout_ms=30000)
+        assert cluster.leader() != leader
+
+    run_simulation(seed, tmp_path, scenario, write_s=write_s)
+
+
 def test_partitioned_leader_renews_nothing_and_answers_nothing(tmp_path):
     async def scenario(cluster):
         for name in NAMES:
