--- a/cressrock/lab/common.py
+++ b/cressrock/lab/common.py
@@ -154,6 +154,18 @@
                 return False
         return True
 
+    async def until_leader(self) -> str:
+        """Wait until a majority names a leader, and return it.  Raises StepNotReached."""
+        named = ""
+
+        async def is_named() -> bool:
+            nonlocal named
+            named = await self.leader()
+            return bool(named)
+
+        await self.until("a leader", is_named)
+        return named
+
     async def leader(self) -> str:
         """Return the seat that leads by its own word and that of a majority; "" without one."""
         votes: dict[str, int] = {}
--- a/tests/aggregation/test_aggregation_drill.py
+++ b/tests/aggregation/test_aggregation_drill.py
@@ -169,7 +169,7 @@
         for name in edges:
             status = await evidence_status(drill, name)
             assert not status["collecting"] and status["why"] == "few tellers" and not status["refused"]
-        leader = await drill.leader()
+        leader = await drill.until_leader()
 
         async def all_are_received():
             return (await zones_status(drill, leader)).get("tellers") == 4
--- a/tests/failover/test_failover_drill.py
+++ b/tests/failover/test_failover_drill.py
@@ -50,7 +50,7 @@
         observed["decisions after one edge is cut"] = await cut_one_edge_temporarily(drill)
         # The zone's nodes fail without a change of the node list, and the leader fails as well.
         lost = await kill_nodes(drill, "a1")
-        leader = await drill.leader()
+        leader = await drill.until_leader()
         await drill._do(steps.Kill(leader))
         await drill.until("evacuated", lambda: all_follow(drill, ("gone", 0.0), edges))
         await drill._do(steps.Restart(leader))
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -528,6 +528,20 @@
     run(program)
 
 
+def test_a_leader_that_no_majority_names_at_first_is_waited_for():
+    async def program():
+        drill = Told(Script(seed=1, real=True), (), story=None)
+        named = iter(["", "", "p1", "p2"])
+
+        async def leader():
+            return next(named)
+
+        drill.leader = leader
+        assert await drill.until_leader() == "p1"
+
+    run(program)
+
+
 # --- drills
 
 
