--- a/cressrock/resp/duplicate_answers.py
+++ b/cressrock/resp/duplicate_answers.py
@@ -12,8 +12,6 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 from cressrock.interface import Outcome
 from cressrock.resp.outcomes import Answer
 
@@ -25,14 +23,17 @@
 MIN_SHORTEST_MS = 1.0  # scheduling delays of this process are in this range
 EARLY_FRACTION = 0.8  # of the shortest time; leaves room for a server that gets faster gradually
 HOLD_FACTOR = 3.0  # times the mean answer time
+_NEVER = float("inf")
 
 
 def fingerprint(answer: Answer) -> int:
     """Return a number that is equal for duplicates; load reports are not part of it."""
-    value = answer.value or b""
-    return hash(
-        (answer.outcome, answer.text, len(value), value[:FINGERPRINT_BYTES], value[-FINGERPRINT_BYTES:])
-    )
+    value = answer.value
+    if value is None:
+        return hash(answer.text)
+    if len(value) <= 2 * FINGERPRINT_BYTES:
+        return hash(value)
+    return hash((len(value), value[:FINGERPRINT_BYTES], value[-FINGERPRINT_BYTES:]))
 
 
 class RecentAnswers:
@@ -46,9 +47,10 @@
 
     def add(self, now: float, answer: Answer) -> None:
         """Add an answer that was complete at `now`."""
-        oldest = now - MAX_LATENESS_MS
-        recent = [entry for entry in self._answers if entry[0] >= oldest]
-        self._answers = [*recent[1 - MAX_RECENT_ANSWERS :], (now, fingerprint(answer))]
+        answers = self._answers
+        answers.append((now, fingerprint(answer)))
+        if len(answers) > MAX_RECENT_ANSWERS:
+            del answers[0]
 
     def contains(self, now: float, answer: Answer) -> bool:
         """Return whether an equal answer arrived recently."""
@@ -56,13 +58,38 @@
         return any(found == searched and now - at <= MAX_LATENESS_MS for at, found in self._answers)
 
 
-@dataclass(slots=True)
 class _Times:
-    """The answer times of one server and outcome in one period."""
+    """The answer times of one server and outcome, in this period and the one before."""
+
+    __slots__ = ("early_below_ms", "shortest_ms", "total_ms", "count", "before")
 
-    shortest_ms: float
-    total_ms: float
-    count: int
+    def __init__(self) -> None:
+        self.early_below_ms = 0.0  # sooner answers are early; 0 while too few are known
+        self.before: tuple[float, float, int] = (_NEVER, 0.0, 0)  # the period before, as below
+        self.shortest_ms, self.total_ms, self.count = _NEVER, 0.0, 0
+
+    def add(self, answer_ms: float) -> None:
+        self.total_ms += answer_ms
+        self.count += 1
+        if answer_ms < self.shortest_ms:
+            self.shortest_ms = answer_ms
+            self.update()
+        elif self.count == MIN_COUNT:
+            self.update()
+
+    def start_period(self) -> None:
+        self.before = (self.shortest_ms, self.total_ms, self.count)
+        self.shortest_ms, self.total_ms, self.count = _NEVER, 0.0, 0
+        self.update()
+
+    def update(self) -> None:
+        shortest_ms = min(self.shortest_ms, self.before[0])
+        is_known = self.count + self.before[2] >= MIN_COUNT and shortest_ms >= MIN_SHORTEST_MS
+        self.early_below_ms = EARLY_FRACTION * shortest_ms if is_known else 0.0
+
+    def mean_ms(self) -> float:
+        count = self.count + self.before[2]
+        return (self.total_ms + self.before[1]) / count if count else 0.0
 
 
 class AnswerTimes:
@@ -70,38 +97,43 @@
 
     def __init__(self) -> None:
         """Start without observations."""
-        self._current: dict[tuple[str, Outcome], _Times] = {}
-        self._previous: dict[tuple[str, Outcome], _Times] = {}
+        self._served: dict[str, _Times] = {}
+        self._refused: dict[str, _Times] = {}
+        self._failed: dict[str, _Times] = {}
         self._period_ends_at = 0.0
 
     def record(self, node: str, outcome: Outcome, answer_ms: float, now: float) -> None:
         """Record that a server answered `answer_ms` after the request was written."""
         if now >= self._period_ends_at:
-            self._previous = self._current if now < self._period_ends_at + PERIOD_MS else {}
-            self._current = {}
-            self._period_ends_at = now + PERIOD_MS
-        times = self._current.get((node, outcome))
+            self._start_period(now)
+        by_node = self._by_node(outcome)
+        times = by_node.get(node)
         if times is None:
-            self._current[node, outcome] = _Times(answer_ms, answer_ms, 1)
-            return
-        times.shortest_ms = min(times.shortest_ms, answer_ms)
-        times.total_ms += answer_ms
-        times.count += 1
+            times = by_node[node] = _Times()
+        times.add(answer_ms)
 
     def is_early(self, node: str, outcome: Outcome, answer_ms: float) -> bool:
         """Return whether an answer came sooner than this server's answers with this outcome do."""
-        known = self._known(node, outcome)
-        if sum(times.count for times in known) < MIN_COUNT:
-            return False
-        shortest_ms = min(times.shortest_ms for times in known)
-        return shortest_ms >= MIN_SHORTEST_MS and answer_ms < EARLY_FRACTION * shortest_ms
+        times = self._by_node(outcome).get(node)
+        return times is not None and answer_ms < times.early_below_ms
 
     def hold_ms(self, node: str, outcome: Outcome) -> float:
         """Return for how long after its request an early answer is held back, for the real one to arrive."""
-        known = self._known(node, outcome)
-        count = sum(times.count for times in known)
-        return HOLD_FACTOR * sum(times.total_ms for times in known) / count if count else 0.0
-
-    def _known(self, node: str, outcome: Outcome) -> list[_Times]:
-        periods = (self._current, self._previous)
-        return [period[node, outcome] for period in periods if (node, outcome) in period]
+        times = self._by_node(outcome).get(node)
+        return HOLD_FACTOR * times.mean_ms() if times is not None else 0.0
+
+    def _by_node(self, outcome: Outcome) -> dict[str, _Times]:
+        if outcome is Outcome.OK:
+            return self._served
+        return self._refused if outcome is Outcome.FULL else self._failed
+
+    def _start_period(self, now: float) -> None:
+        """Forget what is older than the last period, and servers that did not answer in it."""
+        missed = now >= self._period_ends_at + PERIOD_MS
+        self._period_ends_at = now + PERIOD_MS
+        for by_node in (self._served, self._refused, self._failed):
+            for node, times in list(by_node.items()):
+                if missed or not times.count:
+                    del by_node[node]
+                else:
+                    times.start_period()
--- a/cressrock/resp/outcomes.py
+++ b/cressrock/resp/outcomes.py
@@ -15,7 +15,7 @@
 _USAGE_FIELD = re.compile(r"(?:^|[ ,])(used|cost)=([0-9]{1,9}(?:\.[0-9]{1,6})?)(?=$|[ ,])")
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class Answer:
     """A storage server's reply to a request; see `parse_outcome` and `parse_load` for the fields."""
 
