--- a/cressrock/resp/connection_pool.py
+++ b/cressrock/resp/connection_pool.py
@@ -427,7 +427,12 @@
             attempt.stop_sending()
         elif attempt.awaited is not None and now >= self.reuse_delay.ready_at(attempt.awaited.idle_since):
             self._write_to_awaited(attempt)
-        elif attempt.held is not None and attempt.progress is None and now >= attempt.held.until:
+        elif (
+            attempt.held is not None
+            and attempt.progress is None
+            and not (connection is not None and connection.is_paused)
+            and now >= attempt.held.until
+        ):
             attempt.fail_held(attempt.held, now)
         elif (
             attempt.progress is not None
--- a/cressrock/resp/in_flight_attempt.py
+++ b/cressrock/resp/in_flight_attempt.py
@@ -81,7 +81,9 @@
         """Return when `pool._check` must be called for it next."""
         is_paused = self.connection is not None and self.connection.is_paused
         progress_check_at = NEVER_MS
-        if self.progress is not None and not is_paused:
+        if is_paused:
+            pass  # how long an answer takes says nothing while this process does not read it
+        elif self.progress is not None:
             progress_check_at = self.progress.next_check_at()
         elif self.held is not None:
             progress_check_at = self.held.until
--- a/cressrock/resp/server_connection.py
+++ b/cressrock/resp/server_connection.py
@@ -103,9 +103,11 @@
             self.transport.pause_reading()
         else:
             self.transport.resume_reading()
-            if self.attempt is not None and self.attempt.progress is not None:
-                self.attempt.progress.resume(self.pool.clock())
-                self.pool.schedule_check(self.attempt)
+            attempt = self.attempt
+            if attempt is not None and attempt.progress is not None:
+                attempt.progress.resume(self.pool.clock())
+            if attempt is not None and (attempt.progress is not None or attempt.held is not None):
+                self.pool.schedule_check(attempt)
 
     def resume_writing(self) -> None:
         """Record that the kernel has taken the whole request."""
--- a/tests/test_duplicate_answers.py
+++ b/tests/test_duplicate_answers.py
@@ -112,6 +112,31 @@
     assert harness.pool.doubtful_count == 1
 
 
+@pytest.mark.parametrize("arrived_bytes", [0, 10], ids=["nothing of its own answer", "a part of it"])
+def test_a_held_answer_is_not_given_up_while_this_process_does_not_read(arrived_bytes):
+    """Regression: the request failed, or the timer ran without a pause, while memory was short."""
+
+    @with_pool()
+    async def test(harness):
+        end = await known_server(harness)
+        call, attempt = harness.start()
+        assert await read(end, 7) == b"request"
+        own = answer(b"its own")
+        harness.advance(2)
+        end.sendall(LAST + own[:arrived_bytes])
+        await run_loop()
+        assert attempt.held is not None
+        harness.pool.limit_reading(lambda _: False)
+        harness.advance(4 * WORK_MS)
+        assert attempt.next_check_at() > harness.now[0]
+        assert not call.endings
+        end.sendall(own[arrived_bytes:])
+        harness.pool.limit_reading(None)
+        assert (await harness.ended(call)).reply == b"its own"
+
+    test()
+
+
 @with_pool()
 async def test_of_two_answers_read_at_once_the_later_one_is_served(harness):
     end = await known_server(harness)
