--- a/review/play.py
+++ b/review/play.py
@@ -118,10 +118,15 @@
         self.path = folder / "record.txt"
         self.lines: list[str] = []
         self.started = time.monotonic()
+        self("record", f"milliseconds since Unix time {time.time() * 1000:.0f} ms, then who, then what")
 
     def ms(self) -> float:
         return (time.monotonic() - self.started) * 1000
 
+    def at(self, instant: float | None) -> str:
+        """Return an instant of the monotonic clock as the lines of the record have it."""
+        return "never" if instant is None else f"{(instant - self.started) * 1000:.1f} ms"
+
     def __call__(self, who: str, text: str) -> None:
         self.lines.append(f"{self.ms():9.1f} {who}: {text}")
 
@@ -239,7 +244,11 @@
                     b"".join(words[4:]),
                 )
                 self.attempts.append(attempt)
-                self.record(self.name, f"arrived {attempt.id} {words[3].decode()} body={len(attempt.body)}")
+                self.record(
+                    self.name,
+                    f"arrived {attempt.id} piece={attempt.piece} {words[3].decode()} "
+                    f"body={len(attempt.body)}",
+                )
                 if int(names["shard"]) not in (self.shard, -1):
                     writer.write(b"-BUSY\r\n")
                     continue
@@ -370,6 +379,8 @@
     left_at: float | None = None  # the client closed its connection
     ended_at: float | None = None  # the dispatcher did
     names: dict[str, str] = field(default_factory=dict)
+    piece: str = ""
+    size: int = 0
 
     def reply_ms(self) -> float:
         return -1.0 if self.replied_at is None else (self.replied_at - self.sent_at) * 1000
@@ -410,9 +421,9 @@
         if key:
             names["k"] = key
         names |= {"volume": "00000003b4d60021", "units": "2", "shard": str(shard), "hosts": "1"} | others
-        asked = Asked(hex16(self.rng), 0.0, wait_ms, names=names)
+        asked = Asked(hex16(self.rng), 0.0, wait_ms, names=names, piece=piece or hex16(self.rng), size=size)
         text = ",".join(f"{name}={value}" for name, value in names.items()).encode()
-        words = [b"IO.IN", (piece or hex16(self.rng)).encode(), asked.id.encode(), text]
+        words = [b"IO.IN", asked.piece.encode(), asked.id.encode(), text]
         if key or size:
             words = [b"IO.OUT", *words[1:], b"x" * max(1, size)]
         return asked, encode(*words)
@@ -430,7 +441,8 @@
         asked.sent_at = time.monotonic()
         self.asked.append(asked)
         self.open.append(asked)
-        self.record(self.name, f"sent {asked.id} {asked.names}")
+        names = ",".join(f"{name}={value}" for name, value in asked.names.items())
+        self.record(self.name, f"sent {asked.id} piece={asked.piece} {names} body={asked.size}")
 
     async def answered(self, asked: Asked, within_s: float) -> bool:
         """Wait for an answer or the connection's end; return whether there was an answer."""
@@ -531,7 +543,8 @@
             self.process = subprocess.Popen(
                 ["/bin/sh", "-c", run], cwd=ROOT, env=os.environ | names, stdout=log, stderr=log
             )
-        self.record("dispatcher", f"started, process {self.process.pid}")
+        limits, chosen = self.config["limits"], json.dumps(self.config["settings"])
+        self.record("dispatcher", f"started, process {self.process.pid}; limits {limits}; settings {chosen}")
 
     async def ready(self, rng: random.Random) -> None:
         """Wait until it answers PING.  Raises NotRunError after 30 s."""
@@ -559,12 +572,13 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def play(folder: Path, case: Callable[[Record], Awaitable[str]]) -> None:
+def play(folder: Path, rule: str, case: Callable[[Record], Awaitable[str]]) -> None:
     """Play a case and exit: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
-    `case` returns what broke the rule, empty if nothing did.
+    `rule` tells the record's reader what is checked.  `case` returns what broke it, empty if nothing did.
     """
     record = Record(folder)
+    record("rule", rule)
 
     async def bounded() -> str:
         asyncio.get_running_loop().set_exception_handler(
