--- a/review/8/case.py
+++ b/review/8/case.py
@@ -43,6 +43,12 @@
             record("case", "SIGTERM")
         await asyncio.sleep(4.2)
         missing = [asked for asked in client.asked if asked.replied_at is None]
+        for asked in missing:
+            record(
+                "BREAK",
+                f"{asked.id} was written at {record.at(asked.sent_at)}, the dispatcher ended its connection "
+                f"at {record.at(asked.ended_at)} without an answer",
+            )
         return f"{len(missing)} of {COMMANDS} requests without an answer" if missing else ""
     finally:
         dispatcher.end()
@@ -50,4 +56,8 @@
             await part.stop()
 
 
-play(Path(__file__).resolve().parent, case)
+RULE = (
+    "each request whose last byte was written to a connection of the dispatcher gets an answer there, also "
+    "beside SIGTERM, which SIGKILL follows 3.7 s later at the earliest"
+)
+play(Path(__file__).resolve().parent, RULE, case)
