--- a/cressrock/platform/program.py
+++ b/cressrock/platform/program.py
@@ -327,10 +327,25 @@
         self.driver.abort_pending()
         if self.loop_batches is not None:
             self.loop_batches.stop()
-        self.front.close_all()
-        # An answer that the kernel has not delivered yet is lost if its connection is closed with unread
-        # bytes, and so if the process exits.
-        while not self.front.all_closed() and clock() < stop.exit_at_ms:
+        await self._close_connections(stop)
+
+    async def _close_connections(self, stop: StopSchedule) -> None:
+        """Answer what clients have sent and was not read yet, then close their connections.
+
+        What waits in the kernel was taken by this dispatcher too, and its client cannot know that it was not
+        read.  An answer that the kernel has not delivered yet is lost if its connection is closed with unread
+        bytes, and so if the process exits.
+        """
+        front = self.front
+        front.refuse_further()
+        while not front.all_closed() and clock() < stop.close_all_at_ms:
+            front.close_idle()
+            await asyncio.sleep(STOP_POLL_S)
+        unread_count = sum(client.has_unread_input() for client in front.clients)
+        if unread_count:
+            self.log(f"{unread_count} connections are closed with unread input")
+        front.close_all()
+        while not front.all_closed() and clock() < stop.exit_at_ms:
             await asyncio.sleep(STOP_POLL_S)
 
     async def _unlisten(self, listener: Listener, answer_by_ms: float) -> None:
--- a/cressrock/resp/client_connection.py
+++ b/cressrock/resp/client_connection.py
@@ -349,7 +349,7 @@
             self.active_at = self.front.clock()
             self.resume_reading()
         if not queue and not self.parser.has_more:
-            if self.is_ending or (self.front.is_leaving and not self.parser.is_partial):
+            if self.is_ending or (self.front.is_leaving and self.is_idle()):
                 self.end()
             elif has_written:
                 self.front._keep_idle(self)
--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -131,12 +131,20 @@
             if client.is_idle():
                 client.end()
 
-    def close_all(self) -> None:
-        """End every connection; called once all requests have been answered.
+    def refuse_further(self) -> None:
+        """Refuse all further requests at once; called once all that were open have been answered.
 
-        Commands that were read and wait in a parser are refused first.
+        Commands that wait in a parser or in the kernel are read on and answered.  `close_idle` ends each
+        connection once nothing of it is left.
         """
         self.admission.is_closed = True
+        self.admission.refuse_all()
+        for client in list(self.clients):
+            client.resume_reading()
+
+    def close_all(self) -> None:
+        """End every connection, whatever its client still sends; commands that were read are refused first."""
+        self.refuse_further()
         for client in list(self.clients):
             client.answer_buffered()
         self.close_idle()
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -20,6 +20,7 @@
 from cressrock.resp.codec import ErrorReply, StatusReply
 from cressrock.resp.eviction import choose_eviction
 from cressrock.resp.front import Front, FrontBounds
+from cressrock.resp.memory_admission import SMALL_INPUT_BYTES
 from cressrock.resp.request import CommandReader
 from tests.test_platform import (
     READER,
@@ -444,6 +445,44 @@
         await s.task
 
 
+@async_test
+async def test_commands_in_the_kernel_are_answered_as_the_process_ends(monkeypatch):
+    """Regression (review/8): commands that had not been read were lost with their connection after SIGTERM."""
+    set_stopping_times(monkeypatch, **LONG_EXIT)
+    async with running_program(lambda words: None) as s:
+        number = 50_000
+        client = await s.client()
+        client.send(read(1), codec.command(b"PING") * number, read(2))
+        # The first request has no answer, so those behind it wait, and not all of the input is read.
+        await s.until(lambda: any(not c.is_reading and c.queue for c in s.program.front.clients))
+        assert front_client(s, client).has_unread_input()
+        os.kill(os.getpid(), signal.SIGTERM)
+        replies = await read_until_end(client)
+        assert len(replies) == number + 2
+        assert isinstance(replies[0], ErrorReply)
+        assert replies[1:-1] == [StatusReply("PONG")] * number
+        assert isinstance(replies[-1], ErrorReply)
+        client.writer.close()
+        await s.task
+
+
+@async_test
+async def test_a_connection_is_not_ended_between_two_reads_of_its_input_while_the_process_ends():
+    """Regression (review/8): it was ended once what one read had brought was answered; the rest was lost."""
+    async with running_program() as s:
+        command, number = codec.command(b"CLIENT", b"x" * 41), 1000
+        assert len(command) * number > SMALL_INPUT_BYTES and not SMALL_INPUT_BYTES % len(command)
+        sock = connect_raw(s)
+        client = await as_client(s, sock)
+        assert await client.ask(codec.command(b"PING")) == StatusReply("PONG")
+        sock.setblocking(True)
+        sock.sendall(command * number)  # in the kernel; the event loop has not run
+        sock.setblocking(False)
+        s.program.front.close_idle()
+        assert await read_until_end(client) == [StatusReply("OK")] * number
+        client.writer.close()
+
+
 @async_test
 async def test_each_open_request_is_answered_once_after_two_sigterms(monkeypatch):
     set_stopping_times(
