--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -143,7 +143,7 @@
             client.resume_reading()
 
     def close_all(self) -> None:
-        """End every connection, whatever its client still sends; commands that were read are refused first."""
+        """Refuse all commands that were read, then end every connection, whatever its client still sends."""
         self.refuse_further()
         for client in list(self.clients):
             client.answer_buffered()
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -447,7 +447,7 @@
 
 @async_test
 async def test_commands_in_the_kernel_are_answered_as_the_process_ends(monkeypatch):
-    """Regression (review/8): commands that had not been read were lost with their connection after SIGTERM."""
+    """Regression (review/8): commands that had not been read were lost with their connection."""
     set_stopping_times(monkeypatch, **LONG_EXIT)
     async with running_program(lambda words: None) as s:
         number = 50_000
