--- a/cressrock/resp/client_connection.py
+++ b/cressrock/resp/client_connection.py
@@ -20,13 +20,17 @@
     from cressrock.resp.front import Front
 
 MAX_WRITE_BYTES = 65536  # of answers that are joined for one write
-MAX_QUEUED_ANSWERS = 256  # above it, a connection's commands are left in the kernel
+MAX_JOINED_BYTES = 4096  # of answers known at once that share an entry of the queue
+# Of answers known at once in a connection's queue; above it, its commands are left in the kernel.
+MAX_IMMEDIATE_BYTES = 262144
+MAX_SHORT_IMMEDIATE_BYTES = 16384  # the same while memory is short
 
 
 class PendingAnswer:
-    """A command's entry in its connection's queue of answers."""
+    """An entry in a connection's queue: the answer to a request, or answers that were known at once."""
 
     __slots__ = (
+        "is_immediate",
         "name",
         "data",
         "words",
@@ -40,6 +44,7 @@
 
     def __init__(self, data: bytes | None = None) -> None:
         """`data` is the answer if it is known at once."""
+        self.is_immediate = data is not None
         self.name = ""  # the driver's name for the request while it is open, else empty
         self.data = data
         self.words: tuple[bytes, ...] = ()  # of a request that has no answer yet
@@ -82,6 +87,7 @@
         "granted_bytes",
         "input_bytes",
         "unread_bytes",
+        "immediate_bytes",
         "read_limit",
     )
 
@@ -106,6 +112,7 @@
         self.granted_bytes = 0  # for a command that is arriving
         self.input_bytes = 0  # in the parser
         self.unread_bytes = 0  # in the transport
+        self.immediate_bytes = 0  # of answers in the queue that were known at once
         self.read_limit = 0  # bytes of the read that is under way
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -216,7 +223,9 @@
 
     def _may_go_on(self) -> bool:
         """Return whether further commands may be processed, buffered ones or such as the kernel holds."""
-        return len(self.queue) < MAX_QUEUED_ANSWERS and not self.front.admission.must_wait(self)
+        is_short = self.front.admission.account.is_short()
+        max_immediate_bytes = MAX_SHORT_IMMEDIATE_BYTES if is_short else MAX_IMMEDIATE_BYTES
+        return self.immediate_bytes < max_immediate_bytes and not self.front.admission.must_wait(self)
 
     def _process_later(self) -> None:
         if self._may_go_on() and not self.is_processing_later:
@@ -231,10 +240,20 @@
         self.resume_reading()
 
     def queue_answer(self, data: bytes) -> None:
-        """Queue an answer that is known at once."""
-        pending = PendingAnswer(data)
-        pending.hold(self, ANSWER_BYTES + len(data))
-        self.queue.append(pending)
+        """Queue an answer that is known at once.
+
+        A connection is read on behind its open requests, since the end of the connection comes last: with
+        unread input in the kernel, the client's disconnect would go unnoticed.  So that the answers to that
+        input take little memory, those that are known at once share entries.
+        """
+        self.immediate_bytes += len(data)
+        last = self.queue[-1] if self.queue else None
+        if last is not None and last.is_immediate and last.data and len(last.data) < MAX_JOINED_BYTES:
+            last.data += data
+        else:
+            last = PendingAnswer(data)
+            self.queue.append(last)
+        last.hold(self, ANSWER_BYTES + len(last.data or b""))
 
     def answer_buffered(self) -> None:
         """Process all commands that are buffered."""
@@ -363,6 +382,8 @@
                 break
             pending = queue.popleft()
             pending.hold(self, 0)
+            if pending.is_immediate:
+                self.immediate_bytes -= len(data)
             answers.append(data)
             size += len(data)
         return answers[0] if len(answers) == 1 else b"".join(answers)
--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -268,6 +268,7 @@
             if name:
                 self.driver.client_left(name)
         client.queue.clear()
+        client.immediate_bytes = 0
 
     # --- commands
 
@@ -304,7 +305,7 @@
         request = self._read_request(client, words)
         if request is None:
             return
-        if len(client.queue) >= self.bounds.max_pipeline:
+        if self.is_pipeline_full(client):
             denial = self.driver.deny_for_lack_of_room(request)
             client.queue_answer(_encode_denial(denial))
             return
@@ -318,6 +319,10 @@
         self.open_ids.add(request.name)
         self.admission.accept(client, pending, request)
 
+    def is_pipeline_full(self, client: ClientConnection) -> bool:
+        """Return whether so many answers of a connection are due that its further requests are refused."""
+        return len(client.queue) >= self.bounds.max_pipeline
+
     def refuse_discarded(self, client: ClientConnection, words: list[bytes]) -> None:
         """Refuse the request of a command whose value was discarded."""
         request = self._read_request(client, [*words, b""])
--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -223,6 +223,9 @@
         needed_bytes = parser.needed_bytes
         if needed_bytes <= SMALL_INPUT_BYTES or client.granted_bytes or not parser.buffered_bytes:
             return True
+        if client.front.is_pipeline_full(client):
+            parser.discard_value()  # the request would be refused; its value needs no room
+            return True
         wanted_bytes = self._wanted_for_input(needed_bytes)
         is_oldest = not client.queue
         if client.waiting.is_empty() and self.account.has_room(
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -428,20 +428,19 @@
     """Regression: commands that stayed in the parser behind many answers were lost."""
     set_stopping_times(monkeypatch, **LONG_EXIT)
     async with running_program(lambda words: None) as s:
-        sock = connect_raw(s)
-        pings = codec.command(b"PING") * 400
-        sock.sendall(read(1) + pings + read(2))
+        number = 50_000
+        client = await s.client()
+        client.send(read(1), codec.command(b"PING") * number, read(2))
         await s.until(lambda: any(c.parser.has_more and not c.is_reading for c in s.program.front.clients))
         await asyncio.sleep(0.05)
-        (client,) = s.program.front.clients
-        assert client.parser.has_more  # the answers to those before it wait for the first one
+        assert front_client(s, client).parser.has_more  # the answers to those before wait for the first one
         os.kill(os.getpid(), signal.SIGTERM)
-        replies = await read_until_end(await as_client(s, sock))
-        assert len(replies) == 402
+        replies = await read_until_end(client)
+        assert len(replies) == number + 2
         assert isinstance(replies[0], ErrorReply)
-        assert replies[1:401] == [StatusReply("PONG")] * 400
-        assert isinstance(replies[401], ErrorReply)
-        s.clients[-1].writer.close()
+        assert replies[1:-1] == [StatusReply("PONG")] * number
+        assert isinstance(replies[-1], ErrorReply)
+        client.writer.close()
         await s.task
 
 
--- a/tests/test_platform_disconnects.py
+++ b/tests/test_platform_disconnects.py
@@ -306,6 +306,43 @@
         assert s.program.observer.outcomes == {"ok": 1} and not s.program.driver.ledger.entries
 
 
+async def fill_kernel_buffers(sock, data):
+    """Send until the kernel takes no more for a while, or all of it; return how many bytes it took."""
+    sock.setblocking(False)
+    sent, refusals = 0, 0
+    while sent < len(data) and refusals < 10:
+        try:
+            sent += sock.send(data[sent:])
+            refusals = 0
+        except BlockingIOError:
+            refusals += 1
+            await asyncio.sleep(0.005)
+    return sent
+
+
+@leaving
+@async_test
+async def test_a_disconnect_behind_much_input_is_noticed(leave):
+    """Regression (review/10): behind 256 answers the input was not read on, nor the end that came behind it.
+
+    The requests of the client, which waited for the first one, were sent for as long as that had no answer.
+    """
+    async with running_program(lambda words: None) as s:
+        front = s.program.front
+        sock = connect_raw(s)
+        refused = [read(number) for number in range(1, 300)]  # most are, as too many are open
+        large = [write(number, b"w" * 60_000) for number in range(300, 360)]
+        taken = await fill_kernel_buffers(sock, b"".join(refused + large))
+        assert taken > 1_000_000  # more than the receiver's buffer, so that the end stays behind
+        await s.until(lambda: front.submitted_count)
+        leave(sock)
+        await s.until(lambda: not front.open_request_count())
+        counts = s.program.driver.ledger.answer_counts
+        assert front.submitted_count == counts[Verdict.LEFT]
+        assert counts.total() == counts[Verdict.LEFT]
+        sock.close()
+
+
 @async_test
 async def test_disconnects_are_checked_only_when_attempts_are_started():
     """An attempt costs one check, or two if it opens a connection; idle clients cost none."""
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -11,7 +11,7 @@
 from cressrock.lab.memory_drill import MemoryDrill, MemoryPlay, Requests, Trouble
 from cressrock.lab.platform import answer
 from cressrock.resp import codec
-from cressrock.resp.client_connection import PendingAnswer
+from cressrock.resp.client_connection import MAX_IMMEDIATE_BYTES
 from cressrock.resp.codec import ErrorReply
 from cressrock.resp.memory_account import MIB, MIN_STUCK_MS, MemoryBounds, ServiceRate
 from cressrock.resp.memory_admission import SHORT_READ_BYTES, SMALL_INPUT_BYTES
@@ -142,17 +142,32 @@
 @async_test
 async def test_answers_of_a_few_bytes_count_with_what_they_take():
     """Regression: only the bytes of an answer were accounted for, not the entry that holds it."""
-    servers = Servers()
+    servers, ping = Servers(), codec.command(b"PING")
     async with running_program(servers.slow, servers.quick) as s:
-        account = bound_memory(s, 2 * MIB)
+        account, front = bound_memory(s, 2 * MIB), s.program.front
         clients = [await s.client() for _ in range(8)]
         for number, client in enumerate(clients):
-            client.send(write(number, b"x"), codec.command(b"PING") * 1000)
-        front = s.program.front
-        await s.until(lambda: sum(len(client.queue) for client in front.clients) >= 8 * 256)
-        open_bytes = sum(client.queue[0].held_bytes for client in front.clients)
-        queued = sum(len(client.queue) - 1 for client in front.clients)
-        assert account.held_bytes - open_bytes >= queued * sys.getsizeof(PendingAnswer())
+            client.send(write(number, b"x"), ping, read(100 + number), ping * 1000)
+        await s.until(lambda: sum(client.immediate_bytes for client in front.clients) == 8 * 1001 * 7)
+        entries = [pending for client in front.clients for pending in client.queue]
+        open_bytes = sum(pending.held_bytes for pending in entries if not pending.is_immediate)
+        taken = [sys.getsizeof(pending) + sys.getsizeof(pending.data) for pending in entries if pending.data]
+        assert len(taken) >= 16
+        assert account.held_bytes - open_bytes >= sum(taken)
+
+
+@async_test
+async def test_answers_known_at_once_are_bounded_behind_a_request_that_has_none():
+    """A connection is read on behind its open requests; what this holds must not grow without end."""
+    servers = Servers()
+    async with running_program(servers.slow, servers.quick) as s:
+        client = await s.client()
+        client.send(read(1), codec.command(b"PING") * 100_000)
+        await s.until(lambda: any(not c.is_reading and c.has_unread_input() for c in s.program.front.clients))
+        (mine,) = s.program.front.clients
+        assert mine.immediate_bytes == sum(len(pending.data) for pending in mine.queue if pending.data)
+        assert mine.immediate_bytes <= MAX_IMMEDIATE_BYTES + s.program.front.bounds.max_pipeline * 7
+        assert mine.held_bytes <= 2 * MAX_IMMEDIATE_BYTES
 
 
 @async_test
