A parser's emptied buffer is replaced, so that the heap does not grow with each long value

Cause: bytearray.clear() and the deletion of all bytes shrink the allocation to one byte instead of freeing it. The remnant splits the place of a long value, which the heap cannot reuse for the next.

Change: codec._Parser replaces a buffer that is emptied; parsed, discarded, invalid and reply alike.

Measured: an_emptied_buffer failed in its four cases before.

--- a/cressrock/resp/codec.py
+++ b/cressrock/resp/codec.py
@@ -73,6 +73,17 @@
         """How many bytes the message at the start of the buffer has, as far as is known."""
         return self._needed_bytes
 
+    def _consume(self, size: int) -> None:
+        """Remove bytes from the start of the buffer.
+
+        An emptied bytearray keeps a small part of its allocation, so the heap could not reuse the place of a
+        long value for the next one, and would grow with each.
+        """
+        if size == len(self._buffer):
+            self._buffer = bytearray()
+        else:
+            del self._buffer[:size]
+
     def _line(self) -> bytes:
         """Consume a line and return it without its CRLF."""
         end = self._buffer.find(CRLF, self._position, self._position + MAX_LINE_BYTES + 2)
@@ -145,7 +156,7 @@
             return False
         self._discarded_words, self._words = self._words, None
         self._discard_bytes = missing_bytes
-        self._buffer.clear()
+        self._consume(len(self._buffer))
         self._needed_bytes = 1
         return True
 
@@ -189,9 +200,9 @@
         except _IncompleteMessageError as exc:
             self._needed_bytes = exc.needed_bytes - start
         except ProtocolError as exc:
-            self._buffer.clear()
+            self._consume(len(self._buffer))
             return commands, exc
-        del self._buffer[:start]
+        self._consume(start)
         return commands, None
 
     def _command(self) -> list[bytes]:
@@ -235,7 +246,7 @@
             self._needed_bytes = exc.needed_bytes
             return None
         self._needed_bytes = 1
-        del self._buffer[: self._position]
+        self._consume(self._position)
         return (reply,)
 
     def _reply(self, depth: int) -> Reply:
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -32,6 +32,25 @@
     assert got == commands and not parser.is_partial
 
 
+@pytest.mark.parametrize("how", ["parsed", "discarded", "invalid", "reply"])
+def test_an_emptied_buffer_keeps_nothing_of_a_long_value_on_the_heap(how):
+    """Regression: a remnant stayed in the place of each long value, and the heap grew with each."""
+    value = codec.command(b"IO.OUT", b"p", b"i", b"n", b"v" * 60_000)
+    if how == "reply":
+        parser = ReplyParser()
+        parser.feed(codec.bulk(b"v" * 60_000))
+        assert parser.next() == (b"v" * 60_000,)
+    else:
+        parser = CommandParser()
+        parser.feed(value[:50_000])
+        if how == "discarded":
+            assert parser.discard_value()
+        else:
+            parser.feed(value[50_000:] if how == "parsed" else b"v" * 10_100 + b"not CRLF")
+    assert parser.buffered_bytes == 0
+    assert parser._buffer.__alloc__() == bytearray().__alloc__()
+
+
 REPLY = st.one_of(
     st.none(), WORD, st.integers(-(10**12), 10**12), st.lists(st.one_of(st.none(), WORD), max_size=4)
 )
