Clients that stop half way through a command no longer keep the memory from others

Cause: room for a whole command and its answer was set aside as its head was read. Clients that stopped held the whole bound, with the part for the oldest requests, until they were ended.

Change: while memory is short, a command gets room in its turn once the kernel holds the rest of it; the kernel's receive buffer holds any whole command. Those that have not arrived get half of the bound at most, and lose it after 0.2 s without a byte while others wait. New counter: revoked.

Why it works: what a client has not sent costs it its own turn, and room that is needed for commands that have arrived is never behind a client's will to go on.

--- a/cressrock/platform/program.py
+++ b/cressrock/platform/program.py
@@ -421,7 +421,7 @@
             f"held_limit={admission.account.bounds.total_bytes} waiting={admission.waiting_count} "
             f"delayed={admission.counts.delayed} paused={admission.counts.paused} "
             f"no_room={admission.counts.refused} shed={admission.counts.shed} "
-            f"limited={admission.counts.limited} "
+            f"revoked={admission.counts.revoked} limited={admission.counts.limited} "
             f"outcomes={dict(observer.outcomes)} answers={dict(observer.answers)} "
             f"reasons={dict(observer.reasons)}",
             "state",
--- a/cressrock/resp/client_connection.py
+++ b/cressrock/resp/client_connection.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import select
 import socket
+import struct
+import termios
 from collections import deque
 from contextlib import suppress
 from itertools import takewhile
@@ -78,6 +81,7 @@
         "has_sent_command",
         "blocked_since",
         "received_at",
+        "read_at",
         "backlog_since",
         "is_reading",
         "is_processing_later",
@@ -102,6 +106,7 @@
         self.has_sent_command = False  # a complete one
         self.blocked_since: float | None = None
         self.received_at = self.active_at  # of the input in the parser
+        self.read_at = self.active_at  # when input was last read
         # While this side did not read, input waited in the kernel; its time counts from when reading stopped.
         self.backlog_since: float | None = None
         self.is_reading = True
@@ -145,7 +150,8 @@
             # Keep reading and discard the input; without reading, a disconnect would go unnoticed.
             self.front._on_discarded(self, len(data))
             return
-        self.received_at = self.front.clock() if self.backlog_since is None else self.backlog_since
+        self.read_at = self.front.clock()
+        self.received_at = self.read_at if self.backlog_since is None else self.backlog_since
         self._process(data)
 
     def _process(self, data: bytes) -> None:
@@ -193,24 +199,21 @@
         """Release the room for the command that was arriving; return how much that was."""
         granted_bytes = self.granted_bytes
         if granted_bytes:
-            self.granted_bytes = 0
+            self.front.admission.forget_grant(self)
             self.hold(-granted_bytes)
         return granted_bytes
 
     def _drop_input(self) -> None:
         """Forget the command that was arriving; no further input is accepted."""
         self.release_grant()
+        self.front.admission.forget_input(self)
         self.parser = codec.CommandParser()
-        self.hold(-self.input_bytes)
-        self.input_bytes = 0
+        self.update_input()
 
     def _pace_reading(self) -> None:
         """Stop reading while commands remain to be processed, or while there is no room for the next one."""
         may_read_on = self.is_ending or self.front.admission.may_read_on(self)
-        input_bytes = 0 if self.granted_bytes else self.parser.buffered_bytes
-        if input_bytes != self.input_bytes:
-            delta_bytes, self.input_bytes = input_bytes - self.input_bytes, input_bytes
-            self.hold(delta_bytes)
+        self.update_input()
         if self.transport.is_closing():
             return
         if self.is_ending:
@@ -221,6 +224,13 @@
         elif not may_read_on or not self._may_go_on():
             self.pause_reading()
 
+    def update_input(self) -> None:
+        """Account for the bytes in the parser; room for the whole command includes them."""
+        input_bytes = 0 if self.granted_bytes else self.parser.buffered_bytes
+        if input_bytes != self.input_bytes:
+            delta_bytes, self.input_bytes = input_bytes - self.input_bytes, input_bytes
+            self.hold(delta_bytes)
+
     def _may_go_on(self) -> bool:
         """Return whether further commands may be processed, buffered ones or such as the kernel holds."""
         is_short = self.front.admission.account.is_short()
@@ -292,6 +302,19 @@
         poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
         return sum(event for _, event in poll.poll(0))
 
+    def unread_input_bytes(self) -> int:
+        """Return how much input the kernel holds; 0 if it does not tell."""
+        descriptor = self.transport.get_extra_info("socket").fileno()
+        try:
+            size = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(struct.calcsize("i")))
+        except OSError:
+            return 0
+        return int(struct.unpack("i", size)[0])
+
+    def has_arrived(self) -> bool:
+        """Return whether the kernel holds the rest of the command that is arriving."""
+        return self.unread_input_bytes() >= self.parser.missing_bytes
+
     def has_unread_input(self) -> bool:
         """Return whether the kernel holds unread input and the peer has not closed."""
         return self._poll_events() == select.POLLIN
--- a/cressrock/resp/codec.py
+++ b/cressrock/resp/codec.py
@@ -141,6 +141,11 @@
         """Whether the value that is arriving is discarded."""
         return self._discard_bytes > 0
 
+    @property
+    def missing_bytes(self) -> int:
+        """How many more bytes the command that is arriving has, as far as is known."""
+        return self._discard_bytes or self._needed_bytes - len(self._buffer)
+
     @property
     def words_before_value(self) -> list[bytes]:
         """The words of the incomplete command if only its last one has not arrived, else none."""
--- a/cressrock/resp/listener.py
+++ b/cressrock/resp/listener.py
@@ -10,8 +10,14 @@
 import asyncio
 import socket
 from collections.abc import Callable
+from contextlib import suppress
+
+from cressrock.resp.receive_buffer import RECEIVE_BYTES
 
 BACKLOG = 1024  # connections waiting in the kernel
+# Of a connection's input in the kernel, which doubles the figure and uses about half for overhead.  A whole
+# command fits, so that it can wait there until the process has room for it.
+KERNEL_RECEIVE_BYTES = 2 * RECEIVE_BYTES
 
 
 class Listener:
@@ -35,6 +41,8 @@
         self._is_paused = False
         family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
         self.socket = socket.create_server(address, family=family, backlog=BACKLOG)
+        with suppress(OSError):
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, KERNEL_RECEIVE_BYTES)
         self.socket.setblocking(False)
         self.loop.add_reader(self.socket, self._accept)
 
--- a/cressrock/resp/memory_account.py
+++ b/cressrock/resp/memory_account.py
@@ -25,6 +25,7 @@
 MAX_WAITING_BYTES = 4 * MIB  # the same, however high the limit is
 OLDEST_REQUEST_FRACTION = 1 / 4  # of the rest, only for the oldest request of a connection
 FREE_ROOM_MULTIPLE = 2.0  # of what is free, held by one connection
+ARRIVING_FRACTION = 1 / 2  # of the bound, for commands whose clients have not sent all of them
 
 WAITING_REQUEST_BYTES = 640  # a parsed command that waits, without its value
 ANSWER_BYTES = 192  # an answer that waits in its connection's queue, without its text
@@ -74,6 +75,7 @@
         self.bounds = bounds
         self.held_bytes = 0
         self.waiting_bytes = 0  # of commands that wait, in addition
+        self.arriving_bytes = 0  # set aside for commands that are arriving; part of `held_bytes`
         self.highest_bytes = 0  # of both, since `take_highest`
 
     def change(self, delta_bytes: int) -> None:
@@ -120,6 +122,16 @@
             return False
         return held_by_connection + wanted_bytes <= FREE_ROOM_MULTIPLE * free_bytes
 
+    def has_room_for_arriving(self, wanted_bytes: int, held_by_connection: int) -> bool:
+        """Return whether a connection may hold a command whose client has not sent all of it.
+
+        The client may never do so.  Part of the memory is therefore left for commands that have arrived.
+        """
+        arriving_bytes = self.arriving_bytes + min(wanted_bytes, self.bounds.oldest_request_bytes)
+        if arriving_bytes > ARRIVING_FRACTION * self.bounds.max_bytes:
+            return False
+        return self.has_room(wanted_bytes, held_by_connection, is_oldest=False)
+
 
 class AnswerSizes:
     """How large the answers of each request class are: the largest seen, decaying towards smaller ones."""
--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -37,6 +37,7 @@
 REFUSAL_LEAD_FRACTION = 0.25  # of the time that its client waits, between the two
 MAX_PAUSE_FRACTION = 0.5  # of the time that a client waits: how long its input is not read
 LONG_PAUSE_FRACTION = 0.125  # the same, after which requests that are stuck at servers are rejected
+STALLED_INPUT_MS = 200.0  # without any byte of a command that has room, while others wait for room
 LOG_PAUSE_MS = 1000.0  # without anything waiting, before the next shortage is logged
 SMALL_INPUT_BYTES = 16384  # of a connection's next command, read without asking for room
 SHORT_READ_BYTES = 4096  # of a connection at once while memory is short
@@ -50,6 +51,7 @@
     paused: int = 0  # connections not read on
     refused: int = 0  # requests never admitted
     shed: int = 0  # open requests rejected
+    revoked: int = 0  # commands that did not arrive, and whose room was given to others
     limited: int = 0  # times when answers were larger than expected, and most were not read on
 
 
@@ -105,6 +107,7 @@
         self.is_closed = False  # all requests are refused
         self._waiting: dict[ClientConnection, None] = {}  # whose turn is next comes first
         self._open: dict[PendingAnswer, ClientConnection] = {}  # admitted and unanswered, oldest first
+        self._granted: dict[ClientConnection, None] = {}  # with room for the command that is arriving
         self._unfinished: dict[str, int] = {}  # bytes of values that only an attempt has, by request
         self._stuck = StuckRequests()
         self._is_behind = False  # what waits can hardly be served in time
@@ -163,14 +166,20 @@
         """Release what is held for a connection whose client has left, but for what its transport holds."""
         for pending in list(client.waiting.requests):
             self._remove_waiting(client, pending)
-        client.waiting.input_bytes = 0
-        self._waiting.pop(client, None)
+        self.forget_input(client)
         for pending in client.queue:
             if self._open.pop(pending, None) is not None:
                 self._hold_until_ended(pending)
-        client.granted_bytes = client.input_bytes = 0
+        self.forget_grant(client)
+        client.input_bytes = 0
         client.hold(client.unread_bytes - client.held_bytes)
 
+    def forget_input(self, client: ClientConnection) -> None:
+        """Let a connection wait for no more input; its requests go on waiting."""
+        client.waiting.input_bytes = 0
+        if client.waiting.is_empty():
+            self._waiting.pop(client, None)
+
     def _hold_until_ended(self, pending: PendingAnswer) -> None:
         """Hold the value of a request that is over for its client as long as an attempt has it."""
         value_bytes = pending.value_bytes()
@@ -227,10 +236,7 @@
             parser.discard_value()  # the request would be refused; its value needs no room
             return True
         wanted_bytes = self._wanted_for_input(needed_bytes)
-        is_oldest = not client.queue
-        if client.waiting.is_empty() and self.account.has_room(
-            wanted_bytes, client.held_bytes, is_oldest=is_oldest
-        ):
+        if client.waiting.is_empty() and self._has_room_for_input(client, wanted_bytes):
             self._grant(client, wanted_bytes)
             return True
         if self.is_refusing or client.is_refusing_input:
@@ -257,10 +263,37 @@
         expected_bytes = max(map(self.answer_sizes.expected_bytes, self._write_classes), default=0)
         return REQUEST_BYTES + needed_bytes + expected_bytes
 
+    def _has_room_for_input(self, client: ClientConnection, wanted_bytes: int) -> bool:
+        if not client.has_arrived():
+            return self.account.has_room_for_arriving(wanted_bytes, client.held_bytes)
+        return self.account.has_room(wanted_bytes, client.held_bytes, is_oldest=not client.queue)
+
     def _grant(self, client: ClientConnection, granted_bytes: int) -> None:
         client.granted_bytes = granted_bytes
+        client.read_at = self.clock()
+        self._granted[client] = None
+        self.account.arriving_bytes += granted_bytes
         client.hold(granted_bytes)
 
+    def forget_grant(self, client: ClientConnection) -> None:
+        """Record that a connection has no room for a command that is arriving any more."""
+        self.account.arriving_bytes -= client.granted_bytes
+        client.granted_bytes = 0
+        self._granted.pop(client, None)
+
+    def _revoke_stalled(self, now: float) -> None:
+        """Give the room of commands that do not arrive to others; each is refused should it arrive yet.
+
+        A client that stops in the middle of a large command would keep others from their room for as long as
+        its connection lasts.
+        """
+        for client in list(self._granted):
+            if now - client.read_at >= STALLED_INPUT_MS and not client.unread_input_bytes():
+                self.counts.revoked += 1
+                client.release_grant()
+                client.parser.discard_value()
+                client.update_input()
+
     # --- turns
 
     def on_release(self) -> None:
@@ -314,7 +347,7 @@
             self._discard_input(client)
             return True
         wanted_bytes = self._wanted_for_input(waiting.input_bytes)
-        if not self.account.has_room(wanted_bytes, client.held_bytes, is_oldest=not client.queue):
+        if not self._has_room_for_input(client, wanted_bytes):
             return False
         waiting.input_bytes = 0
         self._grant(client, wanted_bytes)
@@ -374,6 +407,8 @@
         self._stuck.record_check(interval_ms, now)
         self._checked_at = now
         self.release_ended()
+        if not self._stuck.is_held_up(interval_ms):
+            self._revoke_stalled(now)
         self._is_behind = self._is_waiting_too_long(now)
         if self._is_behind or self._is_limited:
             self._shed_stuck(now, only_oldest=not self._is_behind)
@@ -486,8 +521,7 @@
     """Return how many bytes of a connection may be read at once."""
     if client.parser.is_discarding:
         return RECEIVE_BYTES
-    missing_bytes = client.parser.needed_bytes - client.parser.buffered_bytes
-    if client.granted_bytes and missing_bytes > 0:
-        return min(missing_bytes, RECEIVE_BYTES)
+    if client.granted_bytes and client.parser.missing_bytes > 0:
+        return min(client.parser.missing_bytes, RECEIVE_BYTES)
     # While memory is short, hundreds of connections would fill it with the beginnings of their commands.
     return SHORT_READ_BYTES if client.front.admission.account.is_short() else SMALL_INPUT_BYTES
--- a/cressrock/resp/stuck_requests.py
+++ b/cressrock/resp/stuck_requests.py
@@ -41,9 +41,14 @@
 
     def record_check(self, interval_ms: float, now: float) -> None:
         """Record that the process checks what waits, `interval_ms` after the last time."""
-        if interval_ms > CHECK_INTERVAL_MS + MAX_CHECK_DELAY_MS:
+        if self.is_held_up(interval_ms):
             self._held_up_at = now
 
+    @staticmethod
+    def is_held_up(interval_ms: float) -> bool:
+        """Return whether a check so long after the last one shows that this process was held up."""
+        return interval_ms > CHECK_INTERVAL_MS + MAX_CHECK_DELAY_MS
+
     def may_reject(self, now: float, stuck_after_ms: float) -> bool:
         """Return whether waiting can be held against servers: this process has not been held up."""
         return now - self._held_up_at >= stuck_after_ms
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -16,8 +16,8 @@
 from cressrock.resp.memory_account import MIB, MIN_STUCK_MS, MemoryBounds, ServiceRate
 from cressrock.resp.memory_admission import SHORT_READ_BYTES, SMALL_INPUT_BYTES
 from tests.test_platform import DISPATCHER_BYTES, async_test, read, request_id, running_program, write
-from tests.test_platform_connections import as_client, connect_raw
-from tests.test_platform_disconnects import LEAVING
+from tests.test_platform_connections import as_client, connect_raw, front_client
+from tests.test_platform_disconnects import LEAVING, disable_sweep
 
 VALUE = b"v" * 65536
 
@@ -117,6 +117,51 @@
         assert held_by_input <= len(clients) * SHORT_READ_BYTES
 
 
+async def stop_half_way(s, *, clients, size=60_000):
+    """Let clients send half of a large write each and stay; return when the front has read what it will."""
+    front = s.program.front
+    connected = [await s.client() for _ in range(clients)]
+    for index, client in enumerate(connected):
+        command = write(5000 + index, VALUE[:size], shard=1)
+        client.send(command[: len(command) // 2])
+    await s.until(lambda: sum(c.parser.is_partial for c in front.clients) == clients)
+    await s.until(lambda: all(c.granted_bytes or c.waiting.input_bytes for c in front.clients))
+    return connected
+
+
+@async_test
+async def test_clients_that_stop_half_way_through_a_command_keep_no_room_from_others():
+    """Regression: room for all of a large command was set aside as its first bytes came, without end.
+
+    Clients that stopped half way held all room, and large requests of others were refused.
+    """
+    servers = Servers()
+    async with running_program(servers.slow, servers.quick) as s:
+        disable_sweep(s)  # it would end the others after some time
+        account, admission = bound_memory(s, 2 * MIB), s.program.front.admission
+        await stop_half_way(s, clients=64)
+        await write_at_once(s, clients=4, writes=4, value=VALUE)
+        assert admission.counts.refused == 0
+        assert account.highest_bytes <= account.bounds.total_bytes
+
+
+@async_test
+async def test_a_command_whose_room_was_given_to_others_is_refused_once_it_arrives():
+    servers = Servers()
+    async with running_program(servers.slow, servers.quick) as s:
+        disable_sweep(s)
+        bound_memory(s, 2 * MIB)
+        admission = s.program.front.admission
+        stopped = await stop_half_way(s, clients=64)
+        await s.until(lambda: admission.counts.revoked)
+        late = next(client for client in stopped if front_client(s, client).parser.is_discarding)
+        whole = write(5000 + stopped.index(late), VALUE[:60_000], shard=1)
+        late.send(whole[len(whole) // 2 :])
+        assert (await late.reply()).text.startswith("BUSY")
+        late.parser = codec.ReplyParser(1 << 20)
+        assert await late.ask(write(1, VALUE, shard=1)) == request_id(1) + VALUE
+
+
 @async_test
 async def test_small_values_wait_in_the_kernel_where_the_room_for_commands_is_short():
     """Regression: commands filled the room for commands that wait, and all others were refused at once."""
