A half-written command that waits for room is ended after the idle timeout

Cause: a connection whose input waits for room never counted as idle, whatever its client had sent, and reading on began the idle timeout anew.

--- a/cressrock/resp/client_connection.py
+++ b/cressrock/resp/client_connection.py
@@ -286,7 +286,8 @@
             self._process_later()
         elif self.blocked_since is None and not self.waiting.input_bytes and self._may_go_on():
             self.is_reading = True
-            self.active_at = self.front.clock()  # until now, this side kept the client from going on
+            if not self.parser.is_partial or self.has_arrived():
+                self.active_at = self.front.clock()  # until now, this side kept the client from going on
             self.transport.resume_reading()
 
     def hold(self, delta_bytes: int) -> None:
@@ -417,12 +418,15 @@
 
     def has_nothing_due(self) -> bool:
         """Return whether no answer is due and no command is buffered; the kernel may hold unread input."""
-        return (
-            not self.queue
-            and not self.is_ending
-            and not self.parser.has_more
-            and not self.waiting.input_bytes
-        )
+        if self.queue or self.is_ending or self.parser.has_more:
+            return False
+        return not self.waiting.input_bytes or not self.has_arrived()
+
+    def is_waiting_for_client(self) -> bool:
+        """Return whether it is the client's turn to send; what it has sent may be a part of a command."""
+        if not self.has_nothing_due():
+            return False
+        return self.waiting.input_bytes > 0 or not self.has_unread_input()
 
     def is_idle(self) -> bool:
         """Return whether no answer is due and the peer has sent no part of a further command."""
--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -109,9 +109,9 @@
                 # A closed connection whose peer never reads the rest would otherwise stay forever.
                 if now - client.active_at > self.bounds.write_timeout_ms:
                     client.transport.abort()
-            elif self.answers_due_at < INFINITE_MS or not client.has_nothing_due():
+            elif self.answers_due_at < INFINITE_MS or now - client.active_at <= self.bounds.idle_timeout_ms:
                 pass  # during shutdown clients cannot reconnect, so open connections stay usable
-            elif now - client.active_at > self.bounds.idle_timeout_ms and not client.has_unread_input():
+            elif client.is_waiting_for_client():
                 if client.parser.is_partial:
                     client.transport.write(codec.error("ERR Protocol error: half a command"))
                 client.end()
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -162,6 +162,30 @@
         assert await late.ask(write(1, VALUE, shard=1)) == request_id(1) + VALUE
 
 
+@async_test
+async def test_a_command_that_waits_for_room_and_is_not_sent_on_is_ended_in_time():
+    """Regression: it waited for room as if its client had sent it, and was ended 2 s later than others."""
+    servers = Servers()
+    async with running_program(servers.slow, servers.quick) as s:
+        account, front = bound_memory(s, 2 * MIB), s.program.front
+        account.change(account.bounds.max_bytes)  # no room
+        half, whole = await s.client(), await s.client()
+        command = write(1, VALUE)
+        half.send(command[:40_000])
+        whole.send(write(2, VALUE))
+        await s.until(lambda: front.admission.counts.paused == 2)
+        await s.until(lambda: front_client(s, half).unread_input_bytes() + SMALL_INPUT_BYTES >= 40_000)
+        await s.until(lambda: front_client(s, whole).has_arrived())
+        clock = front.clock
+        front.clock = lambda: clock() + front.bounds.idle_timeout_ms
+        front.sweep()
+        front.clock = clock
+        reply = await half.reply()
+        assert reply.text.startswith("ERR")
+        assert not front_client(s, whole).is_ending  # its client has done what it can
+        account.change(-account.bounds.max_bytes)
+
+
 @async_test
 async def test_small_values_wait_in_the_kernel_where_the_room_for_commands_is_short():
     """Regression: commands filled the room for commands that wait, and all others were refused at once."""
