An id that comes again while its first request may have run is not sent a second time

Cause: an id was refused only while its request was open; with its client's end or its answer it was free, though its attempt went on or had run.

Measured: an_id_that_comes_again (two cases) and an_id_that_was_served failed before with two attempts; an_id_whose_request_was_never_sent holds before and after.

--- a/cressrock/dispatch/driver.py
+++ b/cressrock/dispatch/driver.py
@@ -245,6 +245,11 @@
         entry = self.ledger.entries.get(name)
         return entry is not None and entry.attempt_in_flight() is not None
 
+    def may_have_run(self, name: str) -> bool:
+        """Return whether an attempt of an open operation may have run, or may yet."""
+        entry = self.ledger.entries.get(name)
+        return entry is not None and entry.first_run() is not None
+
     def shed(self, name: str) -> bool:
         """Reject an operation for lack of memory, sent or not; return False where that is not allowed.
 
--- a/cressrock/resp/client_connection.py
+++ b/cressrock/resp/client_connection.py
@@ -58,6 +58,10 @@
         self.admitted_at = 0.0
         self.held_bytes = 0
 
+    def request_id(self) -> str:
+        """Return the client's id of a request that has no answer yet, else an empty string."""
+        return self.words[2].decode() if self.words else ""
+
     def value_bytes(self) -> int:
         """Return the size of the request's value."""
         return len(self.words[VALUE_INDEX]) if len(self.words) > VALUE_INDEX else 0
--- a/cressrock/resp/front.py
+++ b/cressrock/resp/front.py
@@ -15,6 +15,7 @@
 from cressrock.dispatch.driver import INFINITE_MS, Driver
 from cressrock.dispatch.ledger import Verdict
 from cressrock.dispatch.transport import Denial
+from cressrock.interface import Idempotency
 from cressrock.resp import codec
 from cressrock.resp.client_connection import ClientConnection, PendingAnswer
 from cressrock.resp.eviction import choose_eviction, choose_unread
@@ -22,6 +23,7 @@
 from cressrock.resp.memory_account import ANSWER_BYTES, MemoryBounds
 from cressrock.resp.memory_admission import MemoryAdmission
 from cressrock.resp.request import READ, WRITE, CommandReader, InvalidCommandError, Request
+from cressrock.resp.used_ids import UsedIds
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,6 +69,7 @@
         self.clients: dict[ClientConnection, None] = {}
         self.lingering: Lingering[ClientConnection] = Lingering(bounds.linger_bounds)
         self.open_ids: set[str] = set()
+        self.used_ids = UsedIds()
         self.active_connection_count = 0  # connections that have sent a command
         # Idle connections that have sent a command, longest idle first.
         self.idle_clients: dict[ClientConnection, None] = {}
@@ -93,6 +96,7 @@
         now = self.clock()
         self._limit_unread()
         self.admission.release_ended()
+        self.used_ids.expire(now)
         for client in self.lingering.expired(now):
             # Output still being sent gets more time, but no longer than the write timeout.
             if client.is_flushed() or now - client.active_at > self.bounds.write_timeout_ms:
@@ -264,6 +268,8 @@
         self.admission.forget(client)
         for pending in client.queue:
             name = pending.name
+            if name and self.driver.may_have_run(name):
+                self._record_used(pending)
             self._forget(pending)
             if name:
                 self.driver.client_left(name)
@@ -299,6 +305,9 @@
             # A storage server would take it for a duplicate of the open request.
             self._answer_error(client, "the id is open already")
             return None
+        if self.used_ids.is_used(request.name, self.clock()):
+            self._answer_error(client, "the id was used already")
+            return None
         return request
 
     def _process_request(self, client: ClientConnection, words: list[bytes]) -> None:
@@ -355,16 +364,23 @@
     def finish(self, client: ClientConnection, pending: PendingAnswer, result: Any) -> None:
         """Set the answer to a request; the caller flushes the connection."""
         is_denied = isinstance(result, Denial)
+        if not is_denied or result.verdict is not Verdict.REJECTED:
+            self._record_used(pending)
         self.admission.record_answer(pending, None if is_denied else result)
         self._forget(pending)
         pending.data = _encode_denial(result) if is_denied else codec.bulk(result)
         pending.hold(client, ANSWER_BYTES + len(pending.data))
 
     def _forget(self, pending: PendingAnswer) -> None:
-        pending.name = ""
-        words, pending.words = pending.words, ()
-        if words:
-            self.open_ids.discard(words[2].decode())
+        self.open_ids.discard(pending.request_id())
+        pending.name, pending.words = "", ()
+
+    def _record_used(self, pending: PendingAnswer) -> None:
+        """Remember the id of a request that may have run, unless a second run is harmless."""
+        request_class = self.reader.settings.classes[pending.request_class]
+        request_id = pending.request_id()
+        if request_id and request_class.idempotency is not Idempotency.ALWAYS:
+            self.used_ids.record(request_id, pending.deadline)
 
 
 def _encode_denial(denied: Denial) -> bytes:
--- a/tests/test_platform_disconnects.py
+++ b/tests/test_platform_disconnects.py
@@ -14,6 +14,8 @@
 from cressrock.interface import ListKind, Node, NodeList, NodeState
 from cressrock.lab.platform import answer, echo
 from cressrock.resp import codec
+from cressrock.resp.codec import ErrorReply
+from cressrock.resp.used_ids import UsedIds
 from tests.test_platform import Client, async_test, read, request_id, running_program, write
 from tests.test_platform_connections import connect_raw, connect_with_small_buffers
 from tests.test_platform_pool import ManualServer, patch_connection_made, read_to_end
@@ -306,6 +308,62 @@
         assert s.program.observer.outcomes == {"ok": 1} and not s.program.driver.ledger.entries
 
 
+@pytest.mark.parametrize("state", ["running", "over"])
+@async_test
+async def test_an_id_that_comes_again_after_its_client_left_is_not_sent_again(state):
+    """Regression (issue 61, picture (c)): an id was free once its client had gone, and it ran twice."""
+    withheld, script = withhold(1)
+    async with running_program(script) as s:
+        first, second = await s.client(), await s.client()
+        first.send(write(1, b"x"))
+        await s.until(lambda: withheld)
+        first.writer.transport.abort()
+        await s.until(lambda: s.program.driver.ledger.answer_counts[Verdict.LEFT] == 1)
+        if state == "over":
+            for writer in list(s.servers[0].open):
+                writer.write(echo(withheld[request_id(1)]))
+            await s.until(lambda: not s.program.driver.ledger.entries)
+        reply = await second.ask(write(1, b"x"))
+        assert isinstance(reply, ErrorReply)
+        assert reply.text.startswith("ERR")
+        assert count_attempts(s, 1) == 1
+
+
+@async_test
+async def test_an_id_that_was_served_is_not_sent_again():
+    async with running_program() as s:
+        client = await s.client()
+        assert await client.ask(write(1, b"x")) == b"value of " + request_id(1)
+        assert isinstance(await client.ask(write(1, b"x")), ErrorReply)
+        assert await client.ask(read(2)) == await client.ask(read(2))  # a second run of a read is harmless
+        assert count_attempts(s, 1) == 1
+
+
+@async_test
+async def test_an_id_whose_request_was_never_sent_may_come_again():
+    async with running_program(lambda words: None) as s:
+        s.discovery.put("s9", "127.0.0.1:1", 3, health="leaving")
+        first, second = await s.client(), await s.client()
+        first.send(write(1, b"x", shard=3))
+        await s.until(lambda: s.program.front.open_request_count() == 1)
+        first.writer.transport.abort()
+        await s.until(lambda: s.program.driver.ledger.answer_counts[Verdict.LEFT] == 1)
+        second.send(write(1, b"x"))
+        await s.until(lambda: count_attempts(s, 1) == 1)
+
+
+def test_used_ids_are_bounded_and_end_with_their_clients_time():
+    ids = UsedIds(max_count=2)
+    ids.record("a", 100.0)
+    ids.record("b", 50.0)
+    assert ids.is_used("a", 99.0)
+    assert not ids.is_used("b", 50.0)
+    ids.record("c", 100.0)
+    assert not ids.is_used("a", 0.0)
+    ids.expire(60.0)
+    assert len(ids) == 1
+
+
 async def fill_kernel_buffers(sock, data):
     """Send until the kernel takes no more for a while, or all of it; return how many bytes it took."""
     sock.setblocking(False)
