An HTTP head of more than 256 fields is rejected before it is parsed

Cause: a head was bounded by its bytes only. h11 makes several objects of each field, and a request keeps them while it is served.

Change: http.Channel counts the fields of a head before h11 parses it; Server allows 256 and answers 431 (RFC 6585). Each head is counted alone: bodies of many lines and pipelined requests do not count.

Measured: very_many_short_fields failed before in both cases; counted_alone holds before and after.

--- a/cressrock/http/channel.py
+++ b/cressrock/http/channel.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable
 from typing import Protocol, runtime_checkable
 
@@ -14,6 +15,7 @@
 import h11
 
 Headers = list[tuple[bytes, bytes]]
+END_OF_HEAD = re.compile(rb"\n\r?\n")
 BROKEN = (anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream, OSError)
 
 
@@ -53,12 +55,23 @@
     """One HTTP/1.1 connection.  `read_ahead` bounds the bytes fed and not yet taken out, in bytes."""
 
     def __init__(
-        self, stream: Stream, role: type[h11.CLIENT] | type[h11.SERVER], *, max_head: int, read_ahead: int
+        self,
+        stream: Stream,
+        role: type[h11.CLIENT] | type[h11.SERVER],
+        *,
+        max_head: int,
+        read_ahead: int,
+        max_fields: int | None = None,
     ) -> None:
-        """Wrap a connected stream; `run_reader` has to be started in a task group."""
+        """Wrap a connected stream; `run_reader` has to be started in a task group.
+
+        A request's head may have `max_fields` header fields; None: as many as fit in `max_head` bytes.
+        """
         self.stream = stream
         self.conn = h11.Connection(role, max_incomplete_event_size=max_head)
         self.read_ahead = read_ahead
+        self.max_fields = max_fields
+        self._line_count = 0  # fed since fields were last counted; at least as many as the head has
         self.ended = False  # the peer will send nothing more
         self.when_ended: Callable[[], None] | None = None
         self.when_fed: Callable[[], None] | None = None  # called once, at the next bytes
@@ -89,6 +102,8 @@
     def feed(self, data: bytes) -> None:
         """Take bytes in; holds the stream back once too many are unread."""
         self._fed += len(data)
+        if self.max_fields is not None:
+            self._line_count += data.count(b"\n")
         self.conn.receive_data(data)
         if self.when_fed is not None:
             fed, self.when_fed = self.when_fed, None
@@ -126,6 +141,7 @@
         Raises Gone at an end in mid-message, h11.RemoteProtocolError for bytes that are no HTTP.
         """
         while True:
+            self._limit_fields()
             found = self.conn.next_event()
             if found is not h11.NEED_DATA:
                 return found  # type: ignore[return-value]
@@ -142,6 +158,24 @@
             finally:
                 self._news = None
 
+    def _limit_fields(self) -> None:
+        """Count the fields of the head that is arriving; raises h11.RemoteProtocolError if too many.
+
+        It is done ahead of h11, which takes some hundred bytes and a microsecond for each, however short.
+        """
+        if self.max_fields is None or self._line_count <= self.max_fields:
+            return
+        if self.conn.their_state is not h11.IDLE:
+            return
+        data = self.conn.trailing_data[0]
+        end = END_OF_HEAD.search(data)
+        head = data[: end.start()] if end is not None else data
+        self._line_count = head.count(b"\n")
+        if self._line_count > self.max_fields:
+            raise h11.RemoteProtocolError(
+                f"a request may have at most {self.max_fields} header fields", error_status_hint=431
+            )
+
     async def response(self) -> h11.Response:
         """Return the head of a final answer, passing over interim ones.  Raises as `event`."""
         while True:
--- a/cressrock/http/server.py
+++ b/cressrock/http/server.py
@@ -16,6 +16,7 @@
 from cressrock.http.channel import Channel, ConnectionLostError, Headers, PushStream, Stream
 
 FOREVER = float("inf")
+MAX_HEADER_FIELDS = 256  # of a request; clients and the intermediaries before them send some tens
 Clock = Callable[[], float]  # monotonic milliseconds
 Time = Annotated[float, Meta(gt=0, le=1e9)]
 Size = Annotated[int, Meta(ge=1024, le=2**32)]
@@ -189,7 +190,11 @@
     async def serve(self, stream: Stream) -> None:
         """Serve one connection to its end; never raises for what the peer does."""
         channel = Channel(
-            stream, h11.SERVER, max_head=self.bounds.max_head, read_ahead=self.bounds.read_ahead
+            stream,
+            h11.SERVER,
+            max_head=self.bounds.max_head,
+            read_ahead=self.bounds.read_ahead,
+            max_fields=MAX_HEADER_FIELDS,
         )
         if len(self._open) >= self.max_connections or self.stopping:
             self.turned_away += 1
--- a/tests/programs/test_gateway.py
+++ b/tests/programs/test_gateway.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from cressrock.http.server import MAX_HEADER_FIELDS
 from cressrock.interface import Outcome
 from cressrock.lab.listing import Listed
 from cressrock.lab.model import Machine
@@ -373,6 +374,39 @@
     run(program)
 
 
+def fields(count):
+    return b"".join(b"f%d:\r\n" % number for number in range(count))
+
+
+@pytest.mark.parametrize("is_complete", [True, False], ids=["complete", "incomplete"])
+def test_a_head_of_very_many_short_fields_is_rejected_before_it_is_parsed(is_complete):
+    """Regression (issue 61, picture (a)): each field of a few bytes took some hundred in memory."""
+
+    async def program(rig):
+        count = MAX_HEADER_FIELDS + 1
+        head = b"OPTIONS * HTTP/1.1\r\nHost: gw\r\n" + fields(count) + b"\r\n" * is_complete
+        got = await rig.raw(head)
+        assert got.startswith(b"HTTP/1.1 431 ")
+        assert got.count(b"HTTP/1.1") == 1
+
+    run(program)
+
+
+def test_the_fields_of_each_head_are_counted_alone():
+    """Bodies of many lines and pipelined requests do not count as fields."""
+
+    async def program(rig):
+        options = b"OPTIONS * HTTP/1.1\r\nHost: gw\r\n" + fields(MAX_HEADER_FIELDS - 10) + b"\r\n"
+        body = b"\n" * 5000
+        put = b"PUT /demo/lines HTTP/1.1\r\nHost: gw\r\nContent-Length: 5000\r\n\r\n" + body
+        got = await rig.raw(options + put + options + put + options, wait=5.0)
+        assert got.count(b"HTTP/1.1 200 ") == 3
+        assert got.count(b"HTTP/1.1 201 ") == 1
+        assert got.count(b"HTTP/1.1 204 ") == 1
+
+    run(program)
+
+
 def test_restarted_dispatcher_uses_the_cached_node_list_while_old_attempts_run(tmp_path):
     cache = str(tmp_path / "list.json")
 
