While a process ends, answers behind a stuck request leave 0.6 s before its end

Cause: megabytes of answers waited behind requests at the hung server until everything is answered, 0.1 s before the process exits. Clients that were held up for 0.25 s or more could not read them in that time, and a connection whose client does not read is not read either.

Change: from the time at which what has no room is refused (0.5 s earlier), requests that are stuck at a server and that others' answers wait behind are rejected where that is allowed, by the evidence that holds while memory is short.

Measured: behind_a_stuck_request failed before (0 shed).

--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -508,8 +508,14 @@
             self.counts.shed += shed
 
     def refuse_all(self) -> None:
-        """Refuse all that waits now, and from now on all that there is no room for at once."""
+        """Refuse all that waits now, and from now on all that there is no room for at once.
+
+        While the process ends this is called again and again.  Requests that are stuck at a server are
+        rejected meanwhile, where that is allowed and the answers of others wait behind them: those can be
+        large, and their clients need time to read them.
+        """
         self.is_refusing = True
+        self._shed_stuck(self.clock(), only_oldest=True)
         for client in list(self._waiting):
             self._refuse_due(client)
             if client.waiting.input_bytes:
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -482,6 +482,32 @@
         client.writer.close()
 
 
+@async_test
+async def test_answers_behind_a_stuck_request_leave_before_the_process_has_to_end(monkeypatch):
+    """Regression: they were held until all was answered, 0.1 s before the end, and slow readers lost them."""
+    set_stopping_times(
+        monkeypatch,
+        ACCEPT_AFTER_SIGTERM_MS=0.0,
+        MAX_DEADLINE_WAIT_MS=100.0,
+        KILL_ALLOWANCE_MS=20_000.0,
+        ANSWER_LEAD_MS=100.0,
+        REFUSE_LEAD_MS=19_900.0,
+        EXIT_LEAD_MS=0.0,
+    )
+    async with running_program(lambda words: None, echo) as s:
+        client = await s.client()
+        client.send(read(1, d=60_000))
+        await s.until(lambda: s.servers[0].seen)
+        client.send(*(read(number, shard=1, d=60_000) for number in range(2, 40)))
+        await s.until(lambda: len(s.servers[1].seen) == 38 and s.program.front.open_request_count() == 1)
+        os.kill(os.getpid(), signal.SIGTERM)
+        replies = [await client.reply() for _ in range(39)]
+        assert not s.program.loop_batches._stopped  # before all that is open has to be answered
+        assert s.program.front.admission.counts.shed == 1  # and before its own deadline
+        assert replies[0].text.startswith("BUSY")
+        assert replies[1:] == [b"value of " + request_id(number) for number in range(2, 40)]
+
+
 @async_test
 async def test_each_open_request_is_answered_once_after_two_sigterms(monkeypatch):
     set_stopping_times(
