--- a/tests/test_platform_disconnects.py
+++ b/tests/test_platform_disconnects.py
@@ -401,6 +401,26 @@
         sock.close()
 
 
+@async_test
+async def test_a_disconnect_behind_input_that_waits_for_room_is_noticed():
+    """Where memory is short, input waits in the kernel, and the end behind it is not known."""
+    async with running_program(lambda words: None) as s:
+        front = s.program.front
+        account = front.admission.account
+        taken = account.bounds.max_bytes
+        account.change(taken)  # no room for any request
+        sock = connect_raw(s)
+        data = b"".join(write(number, b"w" * 60_000) for number in range(1, 40))
+        assert await fill_kernel_buffers(sock, data) > 1_000_000  # more than the receiver's buffer
+        await s.until(lambda: front.admission.counts.paused)
+        sock.close()
+        await asyncio.sleep(0.2)  # the platform allows 0.15 s
+        account.change(-taken)
+        front.admission.on_release()
+        await s.until(lambda: not front.clients or s.servers[0].seen)
+        assert not s.servers[0].seen
+
+
 @async_test
 async def test_disconnects_are_checked_only_when_attempts_are_started():
     """An attempt costs one check, or two if it opens a connection; idle clients cost none."""
