An HTTP server gives others a turn between pipelined requests of one client

Cause: a connection reads ahead some thousand small requests, and answering one waits for nothing, so the task that serves the connection kept the event loop.

Change: behind each answer the task gives others a turn if a further request has been read already.

--- a/cressrock/http/channel.py
+++ b/cressrock/http/channel.py
@@ -221,6 +221,10 @@
         except BROKEN as broken:
             raise ConnectionLostError("the peer no longer reads") from broken
 
+    def has_input(self) -> bool:
+        """Return whether bytes of the next message have come already."""
+        return bool(self.conn.trailing_data[0])
+
     def reusable(self) -> bool:
         """Whether the next message can follow on this connection."""
         return (
--- a/cressrock/http/server.py
+++ b/cressrock/http/server.py
@@ -210,7 +210,10 @@
                     tasks.start_soon(channel.run_reader)
                 try:
                     while await self._exchange(watched):
-                        pass
+                        if channel.has_input():
+                            # Neither reading nor answering has to wait then.  Without a turn for others, a
+                            # client that sends requests at full speed would keep the event loop to itself.
+                            await anyio.lowlevel.checkpoint()
                 finally:
                     await channel.close()
                     tasks.cancel_scope.cancel()
