Two tests wait for the state that they need, not for one that passes

Change: the first has its 400 commands again, in one read, and a bound of 256 answers for the time of the test, so that the parser keeps the rest for as long as the first request has no answer (as strict as on, and the same replies); the second waits until the bound is reached.

--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -15,7 +15,7 @@
 from cressrock.interface import NodeState
 from cressrock.lab.platform import answer, echo
 from cressrock.platform import stopping
-from cressrock.resp import codec
+from cressrock.resp import client_connection, codec
 from cressrock.resp import front as front_module
 from cressrock.resp.codec import ErrorReply, StatusReply
 from cressrock.resp.eviction import choose_eviction
@@ -427,20 +427,22 @@
 async def test_commands_that_were_read_are_answered_as_the_process_ends(monkeypatch):
     """Regression: commands that stayed in the parser behind many answers were lost."""
     set_stopping_times(monkeypatch, **LONG_EXIT)
+    monkeypatch.setattr(client_connection, "MAX_IMMEDIATE_BYTES", len(b"+PONG\r\n") * 256)
     async with running_program(lambda words: None) as s:
-        number = 50_000
-        client = await s.client()
-        client.send(read(1), codec.command(b"PING") * number, read(2))
-        await s.until(lambda: any(c.parser.has_more and not c.is_reading for c in s.program.front.clients))
+        sock = connect_raw(s)
+        pings = codec.command(b"PING") * 400
+        sock.sendall(read(1) + pings + read(2))  # one read takes it all
+        await s.until(lambda: any(len(c.queue) > 1 and c.parser.has_more for c in s.program.front.clients))
         await asyncio.sleep(0.05)
-        assert front_client(s, client).parser.has_more  # the answers to those before wait for the first one
+        (client,) = s.program.front.clients
+        assert client.parser.has_more  # the answers to those before it wait for the first one
         os.kill(os.getpid(), signal.SIGTERM)
-        replies = await read_until_end(client)
-        assert len(replies) == number + 2
+        replies = await read_until_end(await as_client(s, sock))
+        assert len(replies) == 402
         assert isinstance(replies[0], ErrorReply)
-        assert replies[1:-1] == [StatusReply("PONG")] * number
-        assert isinstance(replies[-1], ErrorReply)
-        client.writer.close()
+        assert replies[1:401] == [StatusReply("PONG")] * 400
+        assert isinstance(replies[401], ErrorReply)
+        s.clients[-1].writer.close()
         await s.task
 
 
@@ -453,8 +455,12 @@
         client = await s.client()
         client.send(read(1), codec.command(b"PING") * number, read(2))
         # The first request has no answer, so those behind it wait, and not all of the input is read.
-        await s.until(lambda: any(not c.is_reading and c.queue for c in s.program.front.clients))
-        assert front_client(s, client).has_unread_input()
+        await s.until(
+            lambda: any(
+                c.immediate_bytes >= client_connection.MAX_IMMEDIATE_BYTES and c.has_unread_input()
+                for c in s.program.front.clients
+            )
+        )
         os.kill(os.getpid(), signal.SIGTERM)
         replies = await read_until_end(client)
         assert len(replies) == number + 2
