While a process ends, a slow request that no answer waits behind keeps its time

Cause: found by rereading. Requests at the head of their connection were rejected 0.5 s ahead of the time at which all is answered, also where nothing waited behind them: a slow answer that would have come was refused.

Change: while the process ends, a request that is alone on its connection is left as it is.

Measured: behind_a_stuck_request, with a second client that is alone, failed before (2 rejected, 1 expected). Connections, memory and platform tests: 108 passed.

--- a/cressrock/resp/memory_admission.py
+++ b/cressrock/resp/memory_admission.py
@@ -495,6 +495,8 @@
             if pending.admitted_at >= latest_admission:
                 break
             is_oldest = client.queue[0] is pending
+            if self.is_refusing and len(client.queue) == 1:
+                continue  # while the process ends, a request that none waits behind gets all of its time
             is_stuck = self._stuck.is_stuck(
                 pending.shard, pending.admitted_at, now, stuck_after_ms, is_oldest=is_oldest
             )
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -501,15 +501,18 @@
         EXIT_LEAD_MS=0.0,
     )
     async with running_program(lambda words: None, echo) as s:
-        client = await s.client()
-        client.send(read(1, d=60_000))
+        alone, client = await s.client(), await s.client()
+        alone.send(read(100, d=60_000))
         await s.until(lambda: s.servers[0].seen)
+        client.send(read(1, d=60_000))
+        await s.until(lambda: len(s.servers[0].seen) == 2)
         client.send(*(read(number, shard=1, d=60_000) for number in range(2, 40)))
-        await s.until(lambda: len(s.servers[1].seen) == 38 and s.program.front.open_request_count() == 1)
+        await s.until(lambda: len(s.servers[1].seen) == 38 and s.program.front.open_request_count() == 2)
         os.kill(os.getpid(), signal.SIGTERM)
         replies = [await client.reply() for _ in range(39)]
         assert not s.program.loop_batches._stopped  # before all that is open has to be answered
         assert s.program.front.admission.counts.shed == 1  # and before its own deadline
+        assert s.program.front.open_request_count() == 1  # none waits behind the other, which has its time
         assert replies[0].text.startswith("BUSY")
         assert replies[1:] == [b"value of " + request_id(number) for number in range(2, 40)]
 
